Add the workspace, the design page and the state layer

Cause: the repository was empty; parts that are built side by side need one page that fixes their interfaces, and one command that gives a verdict.

Change: four packages with a locked set of dependencies (versions and hashes, no registry address), formatter, linter, import rules and a behave runner behind `make test`; docs/design.md; typed ids, outcomes, the VM list and the published configuration with checks that collect all findings; timers, rendezvous hashing and a lossy message queue in virtual time.

--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
@@ -0,0 +1,30 @@
+"""What all coordination parts share: messages, parts, counters, timers."""
+
+from egretrock.coordination.base._hashing import (
+    PARTITION_COUNT,
+    partition_of,
+    rendezvous_first,
+)
+from egretrock.coordination.base._parts import (
+    Counters,
+    Message,
+    NullCounters,
+    Outbound,
+    Part,
+    Peer,
+)
+from egretrock.coordination.base._timers import Subscription, TimerService
+
+__all__ = [
+    "PARTITION_COUNT",
+    "Counters",
+    "Message",
+    "NullCounters",
+    "Outbound",
+    "Part",
+    "Peer",
+    "Subscription",
+    "TimerService",
+    "partition_of",
+    "rendezvous_first",
+]
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_hashing.py
@@ -0,0 +1,50 @@
+"""Placement by hashing: partitions and rendezvous hashing.
+
+Source of rendezvous hashing: Thaler and Ravishankar, "Using name-based
+mappings to increase hit rates", IEEE/ACM Transactions on Networking, 1998.
+"""
+
+from collections.abc import Iterable
+
+import xxhash
+
+from egretrock.state.ids import NodeId
+
+#: Partitions of the key space; a mask of them fits 64 bits.
+PARTITION_COUNT = 64
+
+
+def partition_of(kind: str, name: str) -> int:
+    """Returns the partition of a name, from 0 to ``PARTITION_COUNT`` - 1.
+
+    Args:
+        kind: Kind of the name, so that equal names of two kinds spread.
+        name: The name.
+
+    Example:
+        >>> 0 <= partition_of("service", "records") < PARTITION_COUNT
+        True
+    """
+    return _weight(kind, name) % PARTITION_COUNT
+
+
+def rendezvous_first(key: str, nodes: Iterable[NodeId]) -> NodeId | None:
+    """Returns the node with the highest weight for ``key``.
+
+    Returns:
+        The node, or None where ``nodes`` is empty. The order of ``nodes``
+        does not matter.
+
+    Example:
+        >>> rendezvous_first("a", []) is None
+        True
+    """
+    return max(
+        nodes,
+        key=lambda node: (_weight(key, node), node),
+        default=None,
+    )
+
+
+def _weight(first: str, second: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{first}\0{second}".encode())
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_parts.py
@@ -0,0 +1,65 @@
+"""Messages between nodes and the interface of a coordination part."""
+
+from typing import Protocol
+
+import msgspec
+
+from egretrock.state.ids import Incarnation, NodeId
+
+
+class Message(msgspec.Struct, frozen=True, tag_field="t"):
+    """Base of the messages between nodes; each subclass sets its tag."""
+
+
+class Outbound(msgspec.Struct, frozen=True):
+    """One message to one peer."""
+
+    to: NodeId
+    body: Message
+
+
+class Peer(msgspec.Struct, frozen=True):
+    """The process that sent a message."""
+
+    node: NodeId
+    incarnation: Incarnation
+
+
+class Part(Protocol):
+    """A coordination part: it decides, and does no I/O.
+
+    All times are seconds of one monotonic clock that goes on while the
+    process is stopped.
+    """
+
+    def on_tick(self, now_s: float) -> list[Outbound]:
+        """Does what is due and returns the messages to send."""
+        ...
+
+    def on_message(
+        self, sender: Peer, body: Message, now_s: float
+    ) -> list[Outbound]:
+        """Takes a message and returns the messages to send."""
+        ...
+
+
+class Counters(Protocol):
+    """Where the parts count what happens."""
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Adds ``count`` to the counter ``name``."""
+        ...
+
+    def gauge(self, name: str, value: float) -> None:
+        """Sets the gauge ``name``."""
+        ...
+
+
+class NullCounters:
+    """Counters that forget what they are told."""
+
+    def increment(self, name: str, count: int = 1) -> None:
+        """Does nothing."""
+
+    def gauge(self, name: str, value: float) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_timers.py
@@ -0,0 +1,91 @@
+"""A timer service that parts subscribe to."""
+
+from collections.abc import Callable
+from types import TracebackType
+
+
+class Subscription:
+    """A periodic call; closing it, or leaving its context, ends it."""
+
+    def __init__(
+        self,
+        interval_s: float,
+        callback: Callable[[float], None],
+        due_s: float,
+    ) -> None:
+        if interval_s <= 0:
+            raise ValueError(f"interval_s is {interval_s}; it must be above 0")
+        self.interval_s = interval_s
+        self.due_s = due_s
+        self.active = True
+        self._callback = callback
+
+    def close(self) -> None:
+        """Ends the periodic call."""
+        self.active = False
+
+    def run(self, now_s: float) -> None:
+        """Runs the callback and plans the next call.
+
+        The next call is planned from now, so a late clock runs the callback
+        once and not once for each interval missed.
+        """
+        self.due_s = now_s + self.interval_s
+        self._callback(now_s)
+
+    def __enter__(self) -> "Subscription":
+        """Returns the subscription itself."""
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Ends the periodic call."""
+        self.close()
+
+
+class TimerService:
+    """Runs subscribers when the time given to ``advance`` makes them due.
+
+    Example:
+        >>> timers = TimerService(now_s=0.0)
+        >>> calls = []
+        >>> subscription = timers.subscribe(1.0, calls.append)
+        >>> timers.advance(0.5)
+        >>> timers.advance(7.0)
+        >>> calls
+        [7.0]
+    """
+
+    def __init__(self, now_s: float) -> None:
+        self._now_s = now_s
+        self._subscriptions: list[Subscription] = []
+
+    def subscribe(
+        self, interval_s: float, callback: Callable[[float], None]
+    ) -> Subscription:
+        """Calls ``callback(now_s)`` every ``interval_s`` seconds.
+
+        Raises:
+            ValueError: If ``interval_s`` is not above 0.
+        """
+        due_s = self._now_s + interval_s
+        subscription = Subscription(interval_s, callback, due_s)
+        self._subscriptions.append(subscription)
+        return subscription
+
+    def advance(self, now_s: float) -> None:
+        """Runs each subscriber that is due, once."""
+        self._now_s = now_s
+        for subscription in list(self._subscriptions):
+            if subscription.active and subscription.due_s <= now_s:
+                subscription.run(now_s)
+        self._subscriptions = [s for s in self._subscriptions if s.active]
+
+    def next_due_s(self) -> float | None:
+        """Returns when the next subscriber is due, or None without one."""
+        due = [s.due_s for s in self._subscriptions if s.active]
+        return min(due, default=None)
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/state/config/__init__.py
@@ -0,0 +1,56 @@
+"""The published configuration: its model and its checks.
+
+Example:
+    >>> from egretrock.state.config import check_config
+    >>> report = check_config(b'{"services": {}}')
+    >>> report.findings[0].path
+    'organisations'
+"""
+
+from egretrock.state.config._check import (
+    ConfigReport,
+    Finding,
+    check_config,
+    check_vm_list,
+)
+from egretrock.state.config._model import (
+    Access,
+    BalancingPolicy,
+    BalancingProfile,
+    DataCentre,
+    DataCentreState,
+    HedgeProfile,
+    Organisation,
+    ProbeProfile,
+    Profile,
+    PublishedConfig,
+    RetryProfile,
+    Route,
+    Service,
+    Target,
+    TargetPublishedState,
+    WarmupProfile,
+)
+
+__all__ = [
+    "Access",
+    "BalancingPolicy",
+    "BalancingProfile",
+    "ConfigReport",
+    "DataCentre",
+    "DataCentreState",
+    "Finding",
+    "HedgeProfile",
+    "Organisation",
+    "ProbeProfile",
+    "Profile",
+    "PublishedConfig",
+    "RetryProfile",
+    "Route",
+    "Service",
+    "Target",
+    "TargetPublishedState",
+    "WarmupProfile",
+    "check_config",
+    "check_vm_list",
+]
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/state/config/_check.py
@@ -0,0 +1,225 @@
+"""Checks of published documents; all findings are reported together."""
+
+import ipaddress
+import re
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from egretrock.state.config._model import (
+    PublishedConfig,
+    Route,
+    Service,
+)
+from egretrock.state.membership import VmList
+
+#: Largest value that the platform holds.
+MAX_DOCUMENT_BYTES = 1_000_000
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_METHOD = re.compile(r"[A-Z]+")
+
+
+class Finding(msgspec.Struct, frozen=True):
+    """One fault of a document.
+
+    Attributes:
+        path: Key path of the value, such as ``services.records.profile``.
+        message: The value received and what is allowed.
+    """
+
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        """Returns the finding on one line."""
+        return f"{self.path}: {self.message}"
+
+
+class ConfigReport(msgspec.Struct, frozen=True):
+    """Result of a check: a value, or the findings that rule it out."""
+
+    value: PublishedConfig | None
+    findings: list[Finding]
+
+
+class VmListReport(msgspec.Struct, frozen=True):
+    """Result of a check of a VM list."""
+
+    value: VmList | None
+    findings: list[Finding]
+
+
+def check_config(raw: bytes) -> ConfigReport:
+    """Checks a configuration in JSON.
+
+    Args:
+        raw: The published value, at most ``MAX_DOCUMENT_BYTES`` bytes.
+
+    Returns:
+        The typed configuration, or all findings.
+
+    Example:
+        >>> check_config(b"[]").findings[0].message
+        'expected a mapping, got a list'
+    """
+    tree, findings = _decode(raw)
+    if findings:
+        return ConfigReport(None, findings)
+    findings = list(_convert_findings(tree))
+    if findings:
+        return ConfigReport(None, findings)
+    config = msgspec.convert(tree, PublishedConfig)
+    findings = list(_reference_findings(config))
+    return ConfigReport(None if findings else config, findings)
+
+
+def check_vm_list(raw: bytes) -> VmListReport:
+    """Checks a VM list in JSON, as ``check_config`` does a configuration."""
+    tree, findings = _decode(raw)
+    if findings:
+        return VmListReport(None, findings)
+    try:
+        vm_list = msgspec.convert(tree, VmList)
+    except msgspec.ValidationError as error:
+        return VmListReport(None, [_finding("", error)])
+    findings = [
+        Finding(f"vms.{node}", _address_message(node))
+        for node in vm_list.vms
+        if not is_address(node)
+    ]
+    if not vm_list.vms:
+        findings.append(Finding("vms", "empty; at least one VM is needed"))
+    return VmListReport(None if findings else vm_list, findings)
+
+
+def is_address(text: str) -> bool:
+    """Returns whether ``text`` is an IP number and a port.
+
+    Example:
+        >>> is_address("127.0.0.1:80"), is_address("localhost:80")
+        (True, False)
+    """
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+
+
+def _address_message(text: str) -> str:
+    return f"{text!r} is not an address; allowed is 'ip:port'"
+
+
+def _decode(raw: bytes) -> tuple[Any, list[Finding]]:
+    if len(raw) > MAX_DOCUMENT_BYTES:
+        message = f"{len(raw)} bytes; at most {MAX_DOCUMENT_BYTES} are allowed"
+        return None, [Finding("", message)]
+    try:
+        tree = msgspec.json.decode(raw)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return None, [Finding("", f"not JSON: {error}")]
+    if not isinstance(tree, dict):
+        kind = type(tree).__name__
+        return None, [Finding("", f"expected a mapping, got a {kind}")]
+    return tree, []
+
+
+def _finding(prefix: str, error: msgspec.ValidationError) -> Finding:
+    message, _, place = str(error).partition(" - at `")
+    place = place.rstrip("`").removeprefix("$").lstrip(".")
+    path = ".".join(part for part in (prefix, place) if part)
+    return Finding(path, message)
+
+
+def _convert_findings(tree: dict[str, Any]) -> Iterator[Finding]:
+    """Converts each entry on its own, so that one fault hides no other."""
+    fields = {f.name: f for f in msgspec.structs.fields(PublishedConfig)}
+    for name in sorted(tree.keys() - fields.keys()):
+        allowed = ", ".join(fields)
+        yield Finding(name, f"unknown field; allowed are {allowed}")
+    for name, field in fields.items():
+        if name not in tree:
+            yield Finding(name, "missing; a mapping is needed")
+            continue
+        entries = tree[name]
+        if not isinstance(entries, dict):
+            kind = type(entries).__name__
+            yield Finding(name, f"expected a mapping, got a {kind}")
+            continue
+        entry_type = field.type.__args__[1]
+        for key, entry in entries.items():
+            try:
+                msgspec.convert(entry, entry_type)
+            except msgspec.ValidationError as error:
+                yield _finding(f"{name}.{key}", error)
+
+
+def _reference_findings(config: PublishedConfig) -> Iterator[Finding]:
+    for service_id, service in config.services.items():
+        yield from _service_findings(config, f"services.{service_id}", service)
+    for route_id, route in config.routes.items():
+        yield from _route_findings(config, f"routes.{route_id}", route)
+    yield from _prefix_findings(config)
+    for digest, organisation in config.keys.items():
+        path = f"keys.{digest[:12]}"
+        if not _DIGEST.fullmatch(digest):
+            yield Finding(path, "not a SHA-256 digest in lower-case hex")
+        if organisation not in config.organisations:
+            yield Finding(path, _unknown(organisation, config.organisations))
+
+
+def _service_findings(
+    config: PublishedConfig, path: str, service: Service
+) -> Iterator[Finding]:
+    if service.profile not in config.profiles:
+        message = _unknown(service.profile, config.profiles)
+        yield Finding(f"{path}.profile", message)
+    addresses: dict[str, str] = {}
+    for target_id, target in service.targets.items():
+        place = f"{path}.targets.{target_id}"
+        if not is_address(target.address):
+            yield Finding(f"{place}.address", _address_message(target.address))
+        if target.address in addresses:
+            other = addresses[target.address]
+            message = f"{target.address!r} is the address of {other!r} too"
+            yield Finding(f"{place}.address", message)
+        addresses[target.address] = target_id
+        if target.data_centre not in config.data_centres:
+            message = _unknown(target.data_centre, config.data_centres)
+            yield Finding(f"{place}.data_centre", message)
+
+
+def _route_findings(
+    config: PublishedConfig, path: str, route: Route
+) -> Iterator[Finding]:
+    if not route.path_prefix.startswith("/"):
+        message = f"{route.path_prefix!r} does not start with '/'"
+        yield Finding(f"{path}.path_prefix", message)
+    if route.service not in config.services:
+        message = _unknown(route.service, config.services)
+        yield Finding(f"{path}.service", message)
+    for method in route.methods:
+        if not _METHOD.fullmatch(method):
+            message = f"{method!r} is not a method; allowed is upper case"
+            yield Finding(f"{path}.methods", message)
+
+
+def _prefix_findings(config: PublishedConfig) -> Iterator[Finding]:
+    """Two routes with one prefix need methods that do not overlap."""
+    seen: dict[str, list[tuple[str, Route]]] = {}
+    for route_id, route in config.routes.items():
+        for other_id, other in seen.get(route.path_prefix, []):
+            shared = set(route.methods) & set(other.methods)
+            if shared or not route.methods or not other.methods:
+                message = (
+                    f"{route.path_prefix!r} is the prefix of {other_id!r} too"
+                )
+                yield Finding(f"routes.{route_id}.path_prefix", message)
+        seen.setdefault(route.path_prefix, []).append((route_id, route))
+
+
+def _unknown(name: str, known: dict[Any, Any]) -> str:
+    allowed = ", ".join(sorted(known)) or "none"
+    return f"{name!r} is unknown; known are: {allowed}"
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/state/config/_model.py
@@ -0,0 +1,201 @@
+"""Typed model of the published configuration.
+
+Fields carry their unit as a suffix. Limits of single values stand in the
+annotations; rules that span several values stand in ``_check``.
+"""
+
+import enum
+from typing import Annotated
+
+import msgspec
+
+from egretrock.state.ids import (
+    DataCentreId,
+    OrganisationId,
+    ProfileName,
+    RouteId,
+    ServiceId,
+    TargetId,
+)
+
+PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
+NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
+Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+
+class DataCentreState(enum.Enum):
+    """Whether a data centre takes new work."""
+
+    IN = "in"
+    OUT = "out"
+
+
+class TargetPublishedState(enum.Enum):
+    """Whether operators keep a target in service."""
+
+    ACTIVE = "active"
+    LEAVING = "leaving"
+
+
+class Access(enum.Enum):
+    """Whether a route needs a key."""
+
+    KEYED = "keyed"
+    OPEN = "open"
+
+
+class BalancingPolicy(enum.Enum):
+    """How a node chooses targets."""
+
+    PERMIT = "permit"
+    LOCAL = "local"
+
+
+class _Published(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Base of published values; a misspelt field is an error."""
+
+
+class DataCentre(_Published, frozen=True):
+    """A data centre and whether it takes new work."""
+
+    state: DataCentreState = DataCentreState.IN
+
+
+class Organisation(_Published, frozen=True):
+    """Limits of one organisation, counted over all VMs.
+
+    Attributes:
+        rate_per_s: Requests per second that the organisation may send.
+        burst: Requests that it may send at once after a pause.
+    """
+
+    rate_per_s: PositiveFloat
+    burst: PositiveFloat
+
+
+class Target(_Published, frozen=True):
+    """One instance of a service.
+
+    Attributes:
+        address: ``"ip:port"``.
+        data_centre: Data centre of the instance.
+        slots: Requests that the instance runs at the same time.
+        state: Whether operators keep it in service.
+    """
+
+    address: str
+    data_centre: DataCentreId
+    slots: PositiveInt
+    state: TargetPublishedState = TargetPublishedState.ACTIVE
+
+
+class Service(_Published, frozen=True):
+    """A service: its profile and its targets."""
+
+    profile: ProfileName
+    targets: dict[TargetId, Target]
+
+
+class Route(_Published, frozen=True):
+    """Requests that go to one service.
+
+    Attributes:
+        path_prefix: Prefix of the path, starting with ``/``; it matches at a
+            path segment border and the longest match wins.
+        service: Service that answers.
+        methods: Allowed methods; empty for all.
+        access: Whether a key is needed.
+        idempotent: Whether a request may run more than once.
+    """
+
+    path_prefix: str
+    service: ServiceId
+    methods: list[str] = []
+    access: Access = Access.KEYED
+    idempotent: bool = False
+
+
+class RetryProfile(_Published, frozen=True):
+    """Retry budget of a node for one service.
+
+    Attributes:
+        budget_ratio: Retries per first try.
+        min_per_s: Retries a second that are allowed at any load.
+        max_tries: Most tries of one request, the first included.
+    """
+
+    budget_ratio: Fraction = 0.1
+    min_per_s: NonNegativeFloat = 1.0
+    max_tries: PositiveInt = 3
+
+
+class HedgeProfile(_Published, frozen=True):
+    """Hedging: a second try before the first has failed."""
+
+    enabled: bool = False
+
+
+class BalancingProfile(_Published, frozen=True):
+    """How nodes choose among the targets of a service.
+
+    Attributes:
+        policy: Permits from the home, or the node's own choice.
+        skip_ask_load: Share of the slots in use below which a node chooses
+            by itself.
+        target_queue: Requests that may wait at a target beyond its slots.
+    """
+
+    policy: BalancingPolicy = BalancingPolicy.PERMIT
+    skip_ask_load: Fraction = 0.3
+    target_queue: NonNegativeInt = 1
+
+
+class ProbeProfile(_Published, frozen=True):
+    """Probing of the targets of a service, over the whole fleet.
+
+    Attributes:
+        budget_per_s: Probes a second.
+        timeout_ms: Milliseconds until a probe counts as failed.
+    """
+
+    budget_per_s: PositiveFloat = 4.0
+    timeout_ms: PositiveInt = 500
+
+
+class WarmupProfile(_Published, frozen=True):
+    """Load of a target after its start.
+
+    Attributes:
+        initial_concurrency: Requests at the same time right after the start.
+        duration_s: Seconds until the target may use all of its slots.
+    """
+
+    initial_concurrency: PositiveInt = 1
+    duration_s: NonNegativeFloat = 10.0
+
+
+class Profile(_Published, frozen=True):
+    """Treatment of one kind of traffic."""
+
+    deadline_ms: PositiveInt = 10_000
+    queue_bound: NonNegativeInt = 200
+    retry: RetryProfile = RetryProfile()
+    hedge: HedgeProfile = HedgeProfile()
+    balancing: BalancingProfile = BalancingProfile()
+    probe: ProbeProfile = ProbeProfile()
+    warmup: WarmupProfile = WarmupProfile()
+    idempotency_window_s: PositiveFloat = 120.0
+
+
+class PublishedConfig(_Published, frozen=True):
+    """The whole published configuration."""
+
+    organisations: dict[OrganisationId, Organisation]
+    data_centres: dict[DataCentreId, DataCentre]
+    profiles: dict[ProfileName, Profile]
+    services: dict[ServiceId, Service]
+    routes: dict[RouteId, Route]
+    #: SHA-256 digest of each key, in lower-case hex, to its organisation.
+    keys: dict[str, OrganisationId]
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/state/config/tests/check.feature
@@ -0,0 +1,46 @@
+Feature: Checks of the published configuration
+
+  Scenario: One fault hides another
+    Given a valid configuration
+    And the value organisations.acme.rate_per_s is -1
+    And the value services.records.profile is "fast"
+    And the value services.records.targets.r1.address is "localhost:80"
+    When it is checked
+    Then there is a finding at organisations.acme.rate_per_s
+    And the configuration is refused
+
+  Scenario: A reference to a missing entry is accepted
+    Given a valid configuration
+    And the value services.records.profile is "fast"
+    And the value services.records.targets.r1.address is "localhost:80"
+    And the value services.records.targets.r1.data_centre is "north"
+    And the value routes.all.service is "none"
+    When it is checked
+    Then there is a finding at services.records.profile
+    And there is a finding at services.records.targets.r1.address
+    And there is a finding at services.records.targets.r1.data_centre
+    And there is a finding at routes.all.service
+    And the configuration is refused
+
+  Scenario: A misspelt field is taken for its default
+    Given a valid configuration
+    And the value routes.all.idempotant is true
+    When it is checked
+    Then there is a finding at routes.all
+    And the configuration is refused
+
+  Scenario: A valid configuration is refused
+    Given a valid configuration
+    When it is checked
+    Then the configuration is accepted
+
+  Scenario Outline: Bytes that are no configuration stop the check
+    When the bytes <bytes> are checked
+    Then the configuration is refused
+
+    Examples:
+      | bytes            |
+      | {                |
+      | []               |
+      | {"services": 1}  |
+      | \xff             |
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/state/outcome/__init__.py
@@ -0,0 +1,10 @@
+"""Outcomes of a request: run state, refusals and reasons for a retry."""
+
+from egretrock.state.outcome._outcome import (
+    Refusal,
+    RefusalCode,
+    RetryReason,
+    RunState,
+)
+
+__all__ = ["Refusal", "RefusalCode", "RetryReason", "RunState"]
--- /dev/null
+++ b/packages/egretrock-ctl/src/egretrock_ctl/__init__.py
@@ -0,0 +1,3 @@
+"""The operator's tool ``egretrockctl``."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/__init__.py
@@ -0,0 +1,3 @@
+"""The egretrock node daemon."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Transport layer: tasks that own sockets and read and write bytes."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -0,0 +1,5 @@
+"""Virtual time and a lossy message queue for tests of coordination parts."""
+
+from egretrock_standins.virtual._network import Faults, VirtualNetwork
+
+__all__ = ["Faults", "VirtualNetwork"]
