Collect all findings of a document, explain each refusal code

Cause: msgspec stops at the first fault, so a second fault in the same entry of a configuration was hidden.

Change: type_findings walks structs and mappings and converts each leaf on its own; settings and configuration share it. Each refusal code has a status, a meaning and an action in one table.

--- a/packages/egretrock-core/src/egretrock/state/config/__init__.py
+++ b/packages/egretrock-core/src/egretrock/state/config/__init__.py
@@ -9,9 +9,10 @@
 
 from egretrock.state.config._check import (
     ConfigReport,
-    Finding,
+    VmListReport,
     check_config,
     check_vm_list,
+    is_address,
 )
 from egretrock.state.config._model import (
     Access,
@@ -39,7 +40,6 @@
     "ConfigReport",
     "DataCentre",
     "DataCentreState",
-    "Finding",
     "HedgeProfile",
     "Organisation",
     "ProbeProfile",
@@ -50,7 +50,9 @@
     "Service",
     "Target",
     "TargetPublishedState",
+    "VmListReport",
     "WarmupProfile",
     "check_config",
     "check_vm_list",
+    "is_address",
 ]
--- a/packages/egretrock-core/src/egretrock/state/config/_check.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_check.py
@@ -12,6 +12,7 @@
     Route,
     Service,
 )
+from egretrock.state.findings import Finding, type_findings
 from egretrock.state.membership import VmList
 
 #: Largest value that the platform holds.
@@ -20,22 +21,6 @@
 _METHOD = re.compile(r"[A-Z]+")
 
 
-class Finding(msgspec.Struct, frozen=True):
-    """One fault of a document.
-
-    Attributes:
-        path: Key path of the value, such as ``services.records.profile``.
-        message: The value received and what is allowed.
-    """
-
-    path: str
-    message: str
-
-    def __str__(self) -> str:
-        """Returns the finding on one line."""
-        return f"{self.path}: {self.message}"
-
-
 class ConfigReport(msgspec.Struct, frozen=True):
     """Result of a check: a value, or the findings that rule it out."""
 
@@ -66,7 +51,7 @@
     tree, findings = _decode(raw)
     if findings:
         return ConfigReport(None, findings)
-    findings = list(_convert_findings(tree))
+    findings = type_findings(tree, PublishedConfig)
     if findings:
         return ConfigReport(None, findings)
     config = msgspec.convert(tree, PublishedConfig)
@@ -79,10 +64,10 @@
     tree, findings = _decode(raw)
     if findings:
         return VmListReport(None, findings)
-    try:
-        vm_list = msgspec.convert(tree, VmList)
-    except msgspec.ValidationError as error:
-        return VmListReport(None, [_finding("", error)])
+    findings = type_findings(tree, VmList)
+    if findings:
+        return VmListReport(None, findings)
+    vm_list = msgspec.convert(tree, VmList)
     findings = [
         Finding(f"vms.{node}", _address_message(node))
         for node in vm_list.vms
@@ -126,36 +111,6 @@
     return tree, []
 
 
-def _finding(prefix: str, error: msgspec.ValidationError) -> Finding:
-    message, _, place = str(error).partition(" - at `")
-    place = place.rstrip("`").removeprefix("$").lstrip(".")
-    path = ".".join(part for part in (prefix, place) if part)
-    return Finding(path, message)
-
-
-def _convert_findings(tree: dict[str, Any]) -> Iterator[Finding]:
-    """Converts each entry on its own, so that one fault hides no other."""
-    fields = {f.name: f for f in msgspec.structs.fields(PublishedConfig)}
-    for name in sorted(tree.keys() - fields.keys()):
-        allowed = ", ".join(fields)
-        yield Finding(name, f"unknown field; allowed are {allowed}")
-    for name, field in fields.items():
-        if name not in tree:
-            yield Finding(name, "missing; a mapping is needed")
-            continue
-        entries = tree[name]
-        if not isinstance(entries, dict):
-            kind = type(entries).__name__
-            yield Finding(name, f"expected a mapping, got a {kind}")
-            continue
-        entry_type = field.type.__args__[1]
-        for key, entry in entries.items():
-            try:
-                msgspec.convert(entry, entry_type)
-            except msgspec.ValidationError as error:
-                yield _finding(f"{name}.{key}", error)
-
-
 def _reference_findings(config: PublishedConfig) -> Iterator[Finding]:
     for service_id, service in config.services.items():
         yield from _service_findings(config, f"services.{service_id}", service)
--- a/packages/egretrock-core/src/egretrock/state/config/tests/check.feature
+++ b/packages/egretrock-core/src/egretrock/state/config/tests/check.feature
@@ -3,10 +3,12 @@
   Scenario: One fault hides another
     Given a valid configuration
     And the value organisations.acme.rate_per_s is -1
-    And the value services.records.profile is "fast"
-    And the value services.records.targets.r1.address is "localhost:80"
+    And the value services.records.targets.r1.slots is 0
+    And the value services.records.targets.r1.data_centre is 7
     When it is checked
     Then there is a finding at organisations.acme.rate_per_s
+    And there is a finding at services.records.targets.r1.slots
+    And there is a finding at services.records.targets.r1.data_centre
     And the configuration is refused
 
   Scenario: A reference to a missing entry is accepted
@@ -26,7 +28,7 @@
     Given a valid configuration
     And the value routes.all.idempotant is true
     When it is checked
-    Then there is a finding at routes.all
+    Then there is a finding at routes.all.idempotant
     And the configuration is refused
 
   Scenario: A valid configuration is refused
--- a/packages/egretrock-core/src/egretrock/state/outcome/__init__.py
+++ b/packages/egretrock-core/src/egretrock/state/outcome/__init__.py
@@ -1,5 +1,6 @@
 """Outcomes of a request: run state, refusals and reasons for a retry."""
 
+from egretrock.state.outcome._explain import Explanation, explain
 from egretrock.state.outcome._outcome import (
     Refusal,
     RefusalCode,
@@ -7,4 +8,11 @@
     RunState,
 )
 
-__all__ = ["Refusal", "RefusalCode", "RetryReason", "RunState"]
+__all__ = [
+    "Explanation",
+    "Refusal",
+    "RefusalCode",
+    "RetryReason",
+    "RunState",
+    "explain",
+]
