Add node settings, structured logs and statsd counters

Cause: the daemon needs checked settings and counters that cost little on the hot path.

Counters add to a dictionary and go to statsd in batches. Log records are one line, as text or JSON.

--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/observability/_logs.py
@@ -0,0 +1,59 @@
+"""Structured log records through logbook."""
+
+import sys
+
+import logbook
+import msgspec
+
+from egretrock_node.settings import LogSettings
+
+_TEXT_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f}Z {record.level_name}"
+    " {record.channel}: {record.message}{fields}"
+)
+
+
+class JsonFormatter:
+    """Formats a record as one JSON object on one line.
+
+    The object holds ``time``, ``level``, ``channel``, ``message`` and the
+    fields that the call gave as ``extra``.
+    """
+
+    def __call__(
+        self, record: logbook.LogRecord, handler: logbook.Handler
+    ) -> str:
+        """Returns the line without its end."""
+        entry = dict(record.extra)
+        entry["time"] = f"{record.time.isoformat(timespec='microseconds')}Z"
+        entry["level"] = record.level_name.lower()
+        entry["channel"] = record.channel
+        entry["message"] = record.message
+        if record.formatted_exception:
+            entry["exception"] = record.formatted_exception
+        return msgspec.json.encode(entry, enc_hook=str).decode()
+
+
+class _TextFormatter:
+    """Formats a record as text, with its fields as ``name=value``."""
+
+    def __call__(
+        self, record: logbook.LogRecord, handler: logbook.Handler
+    ) -> str:
+        fields = "".join(f" {k}={v}" for k, v in record.extra.items())
+        line = _TEXT_FORMAT.format(record=record, fields=fields)
+        if record.formatted_exception:
+            line = f"{line}\n{record.formatted_exception}"
+        return line
+
+
+def log_handler(settings: LogSettings) -> logbook.Handler:
+    """Returns a handler for standard error, to be pushed by the caller.
+
+    Args:
+        settings: Level and format.
+    """
+    level = logbook.lookup_level(settings.level.value.upper())
+    handler = logbook.StreamHandler(sys.stderr, level=level)
+    handler.formatter = JsonFormatter() if settings.json else _TextFormatter()
+    return handler
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/observability/tests/steps/observability_steps.py
@@ -0,0 +1,63 @@
+import io
+import json
+import socket
+from contextlib import redirect_stderr
+
+import logbook
+from behave import given, then, when
+
+from egretrock_node.observability import StatsdCounters, log_handler
+from egretrock_node.settings import LogSettings
+
+
+@given("counters that send to a statsd address")
+def step_counters(context):
+    context.server = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.add_cleanup(context.server.close)
+    context.server.bind(("127.0.0.1", 0))
+    context.server.settimeout(5)
+    port = context.server.getsockname()[1]
+    context.counters = StatsdCounters(f"127.0.0.1:{port}")
+
+
+@when("{name} is counted 3 times, flushed, and counted 2 times")
+def step_count(context, name):
+    for _ in range(3):
+        context.counters.increment(name)
+    context.counters.flush()
+    context.counters.increment(name, 2)
+
+
+@when("the counters are flushed")
+def step_flush(context):
+    context.counters.flush()
+
+
+@then('the statsd address has received "{line}"')
+def step_received(context, line):
+    assert context.server.recv(2000).decode() == line
+
+
+@then("the total of {name} is {count:d}")
+def step_total(context, name, count):
+    assert context.counters.totals() == {name: count}
+
+
+@when('a record with the field path "{text}" is written as JSON')
+def step_write_record(context, text):
+    value = text.replace("\\n", "\n")
+    stream = io.StringIO()
+    with redirect_stderr(stream):
+        handler = log_handler(LogSettings(json=True))
+        with handler.applicationbound():
+            logbook.Logger("test").info("served", extra={"path": value})
+    context.output = stream.getvalue()
+
+
+@then('it is one line with the level {level} and the field path "{text}"')
+def step_one_line(context, level, text):
+    lines = context.output.splitlines()
+    assert len(lines) == 1, lines
+    record = json.loads(lines[0])
+    assert record["level"] == level, record
+    assert record["path"] == text.replace("\\n", "\n"), record
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/settings/_load.py
@@ -0,0 +1,154 @@
+"""Reads YAML documents and reports findings with file and line."""
+
+import pathlib
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+import yaml
+
+from egretrock.state.config import is_address
+from egretrock.state.findings import Finding, type_findings
+from egretrock_node.settings._model import Settings
+
+
+class PlacedFinding(msgspec.Struct, frozen=True):
+    """A finding with the file and the line where it stands.
+
+    Attributes:
+        file: Path as it was given.
+        line: Line, from 1; 0 where it is not known.
+        path: Key path of the value.
+        message: The value received and what is allowed.
+    """
+
+    file: str
+    line: int
+    path: str
+    message: str
+
+    def __str__(self) -> str:
+        """Returns the finding on one line."""
+        place = f"{self.file}:{self.line}" if self.line else self.file
+        path = f" {self.path}:" if self.path else ""
+        return f"{place}:{path} {self.message}"
+
+
+class SettingsReport(msgspec.Struct, frozen=True):
+    """Result of a check: settings, or the findings that rule them out."""
+
+    value: Settings | None
+    findings: list[PlacedFinding]
+
+
+class DocumentError(Exception):
+    """A file that cannot be read as YAML at all."""
+
+    def __init__(self, finding: PlacedFinding) -> None:
+        super().__init__(str(finding))
+        self.finding = finding
+
+
+def load_tree(file: pathlib.Path) -> tuple[Any, dict[str, int]]:
+    """Reads a YAML or JSON file.
+
+    Returns:
+        The decoded tree, and the line of each key path.
+
+    Raises:
+        DocumentError: If the file cannot be read, is not YAML, or names a
+            key twice.
+    """
+    name = str(file)
+    try:
+        text = file.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or str(error)
+        raise DocumentError(PlacedFinding(name, 0, "", reason)) from error
+    try:
+        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        tree = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise DocumentError(_yaml_finding(name, error)) from error
+    lines: dict[str, int] = {}
+    if root is not None:
+        for path, node in _walk(root, ""):
+            line = node.start_mark.line + 1
+            if path in lines:
+                message = f"key given twice, first on line {lines[path]}"
+                raise DocumentError(PlacedFinding(name, line, path, message))
+            lines[path] = line
+    return tree, lines
+
+
+def place_findings(
+    file: pathlib.Path, lines: dict[str, int], findings: Iterable[Finding]
+) -> list[PlacedFinding]:
+    """Adds file and line to findings, in the order of the lines.
+
+    A finding on a missing key gets the line of the section it belongs to.
+    """
+    placed = [
+        PlacedFinding(str(file), _line_of(f.path, lines), f.path, f.message)
+        for f in findings
+    ]
+    return sorted(placed, key=lambda finding: (finding.line, finding.path))
+
+
+def load_settings(file: pathlib.Path) -> SettingsReport:
+    """Reads and checks a settings file; reports all findings together."""
+    try:
+        tree, lines = load_tree(file)
+    except DocumentError as error:
+        return SettingsReport(None, [error.finding])
+    findings = type_findings(tree, Settings)
+    if not findings:
+        settings = msgspec.convert(tree, Settings)
+        findings = list(_value_findings(settings))
+    if findings:
+        return SettingsReport(None, place_findings(file, lines, findings))
+    return SettingsReport(settings, [])
+
+
+def _value_findings(settings: Settings) -> Iterator[Finding]:
+    addresses = {
+        "node.peer_address": settings.node.peer_address,
+        "caller_address": settings.caller_address,
+        "operator_address": settings.operator_address,
+        "platform.address": settings.platform.address,
+    }
+    if settings.statsd_address is not None:
+        addresses["statsd_address"] = settings.statsd_address
+    for path, address in addresses.items():
+        if not is_address(address):
+            message = f"{address!r} is not an address; allowed is 'ip:port'"
+            yield Finding(path, message)
+    # These three are TCP listeners of one process; statsd is UDP to outside.
+    listeners = list(addresses)[:3]
+    for index, path in enumerate(listeners):
+        for other in listeners[:index]:
+            if addresses[path] == addresses[other]:
+                message = f"{addresses[path]!r} is the value of {other} too"
+                yield Finding(path, message)
+
+
+def _walk(node: yaml.Node, path: str) -> Iterator[tuple[str, yaml.Node]]:
+    if not isinstance(node, yaml.MappingNode):
+        return
+    for key, value in node.value:
+        place = f"{path}.{key.value}" if path else str(key.value)
+        yield place, key
+        yield from _walk(value, place)
+
+
+def _line_of(path: str, lines: dict[str, int]) -> int:
+    while path and path not in lines:
+        path = path.rpartition(".")[0]
+    return lines.get(path, 0)
+
+
+def _yaml_finding(file: str, error: yaml.YAMLError) -> PlacedFinding:
+    mark = getattr(error, "problem_mark", None)
+    line = mark.line + 1 if mark else 0
+    problem = getattr(error, "problem", None) or str(error)
+    return PlacedFinding(file, line, "", f"not YAML: {problem}")
