--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/__init__.py
@@ -0,0 +1,71 @@
+"""HTTP rules of the request path, without sockets.
+
+Example:
+    >>> from egretrock_node.protocol.http import KeyCredentials
+    >>> presented = KeyCredentials().extract([(b"X-Api-Key", b"k1")], None)
+    >>> presented.ok.key, presented.ok.headers
+    (b'k1', [])
+"""
+
+from egretrock_node.protocol.http._credentials import (
+    Credentials,
+    KeyCredentials,
+    Presented,
+    digest_key,
+)
+from egretrock_node.protocol.http._framing import (
+    MAX_LENGTH_DIGITS,
+    RequestHead,
+    bad_request,
+    check_head,
+    is_persistent,
+    line_fault,
+)
+from egretrock_node.protocol.http._headers import (
+    HeaderList,
+    filter_request_headers,
+    filter_response_headers,
+    header_values,
+)
+from egretrock_node.protocol.http._refusals import (
+    AnswerHead,
+    RefusalAnswer,
+    RequestIds,
+    refusal_answer,
+)
+from egretrock_node.protocol.http._routing import RouteMatch, Routing
+from egretrock_node.protocol.http._target_protocol import (
+    AnswerSigns,
+    TargetHealth,
+    TargetLoad,
+    TargetProtocol,
+    TargetState,
+)
+
+__all__ = [
+    "MAX_LENGTH_DIGITS",
+    "AnswerHead",
+    "AnswerSigns",
+    "Credentials",
+    "HeaderList",
+    "KeyCredentials",
+    "Presented",
+    "RefusalAnswer",
+    "RequestHead",
+    "RequestIds",
+    "RouteMatch",
+    "Routing",
+    "TargetHealth",
+    "TargetLoad",
+    "TargetProtocol",
+    "TargetState",
+    "bad_request",
+    "check_head",
+    "digest_key",
+    "filter_request_headers",
+    "filter_response_headers",
+    "header_values",
+    "is_persistent",
+    "line_fault",
+    "refusal_answer",
+]
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_framing.py
@@ -0,0 +1,126 @@
+"""Checks of the framing and the head of a request."""
+
+import re
+
+import msgspec
+from expression import Error, Ok, Result
+
+from egretrock.state.outcome import Refusal, RefusalCode, RunState
+from egretrock_node.protocol.http._headers import (
+    HeaderList,
+    header_values,
+    split_tokens,
+)
+
+#: Most digits of a Content-Length; larger values overflow 64 bits.
+MAX_LENGTH_DIGITS = 18
+_TARGET = re.compile(rb"[\x21-\x7e]+")
+_ABSOLUTE = re.compile(rb"https?://([^/?#]+)", re.IGNORECASE)
+_HOST = re.compile(rb"[A-Za-z0-9._~!$&'()*+,;=%:\[\]-]*")
+_CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+
+
+class RequestHead(msgspec.Struct):
+    """The head of a request whose framing is sound.
+
+    Attributes:
+        method: Method, in the case received.
+        path: Raw path, starting with ``/``.
+        query: Raw query without the ``?``, or None.
+        headers: Fields as received.
+        content_length: Bytes of the body, or None where it is chunked.
+        expects_continue: Whether the caller waits for 100 Continue.
+    """
+
+    method: bytes
+    path: bytes
+    query: bytes | None
+    headers: HeaderList
+    content_length: int | None
+    expects_continue: bool = False
+
+
+def line_fault(line: bytes) -> str | None:
+    """Returns what is wrong with one line of a head, without its CRLF.
+
+    Example:
+        >>> line_fault(b"Host: a")
+        >>> line_fault(b" folded")
+        'obsolete line folding'
+    """
+    if line[:1] in (b" ", b"\t"):
+        return "obsolete line folding"
+    if _CONTROL.search(line):
+        return "a control character (bare CR or LF, NUL) in the head"
+    return None
+
+
+def bad_request(message: str) -> Refusal:
+    """Returns the refusal of a malformed request."""
+    return Refusal(RefusalCode.BAD_REQUEST, RunState.NOT_RUN, message)
+
+
+def check_head(
+    method: bytes,
+    target: bytes,
+    version: bytes,
+    headers: HeaderList,
+    content_length: int | None,
+) -> Result[RequestHead, Refusal]:
+    """Checks a head whose lines are sound, and splits its target.
+
+    Args:
+        method: Method of the request line.
+        target: Request target; origin form or absolute form.
+        version: ``HTTP/1.0`` or ``HTTP/1.1``.
+        headers: Fields as received.
+        content_length: Bytes of the body, or None where it is chunked.
+    """
+    hosts = header_values(headers, b"host")
+    if len(hosts) > 1:
+        return Error(bad_request("Host given more than once"))
+    if not hosts and version == b"HTTP/1.1":
+        return Error(bad_request("Host missing"))
+    if hosts and not _HOST.fullmatch(hosts[0]):
+        return Error(bad_request("Host is not a host and port"))
+    if content_length is None and version != b"HTTP/1.1":
+        return Error(bad_request("Transfer-Encoding needs HTTP/1.1"))
+    if not _TARGET.fullmatch(target) or b"#" in target:
+        return Error(bad_request("malformed request target"))
+    if not target.startswith(b"/"):
+        absolute = _ABSOLUTE.match(target)
+        if absolute is None:
+            message = "the request target must be a path or an absolute URI"
+            return Error(bad_request(message))
+        # RFC 9112 section 3.2.2: the authority of the URI replaces Host.
+        rest = target[absolute.end() :]
+        target = rest if rest.startswith(b"/") else b"/" + rest
+        headers = [f for f in headers if f[0].lower() != b"host"]
+        headers.insert(0, (b"Host", absolute.group(1)))
+    elif not hosts:
+        headers = [(b"Host", b"localhost"), *headers]
+    expects = header_values(headers, b"expect")
+    expects_continue = False
+    if expects:
+        if split_tokens(expects) != [b"100-continue"]:
+            return Error(bad_request("Expect must be 100-continue"))
+        expects_continue = version == b"HTTP/1.1" and content_length != 0
+    path, mark, query = target.partition(b"?")
+    return Ok(
+        RequestHead(
+            method,
+            path,
+            query if mark else None,
+            headers,
+            content_length,
+            expects_continue,
+        )
+    )
+
+
+def is_persistent(version: bytes, headers: HeaderList) -> bool:
+    """Returns whether the connection stays open after this message."""
+    if version != b"HTTP/1.1":
+        return False
+    values = header_values(headers, b"connection")
+    return not values or b"close" not in split_tokens(values)
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_headers.py
@@ -0,0 +1,109 @@
+"""Header filtering between callers and targets."""
+
+from collections.abc import Iterable
+
+#: Header fields in the order received, names in the case received.
+HeaderList = list[tuple[bytes, bytes]]
+
+# RFC 9110 section 7.6.1, and the older fields that some callers still send.
+_HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"http2-settings",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"trailers",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# The node frames the body towards the target itself and answers Expect.
+_REFRAMED = frozenset({b"content-length", b"expect"})
+_POSING_PREFIXES = (b"egretrock-", b"x-forwarded-")
+_POSING = frozenset({b"forwarded", b"x-organisation"})
+_REMOVED = _HOP_BY_HOP | _REFRAMED | _POSING
+_FROM_TARGET_ONLY = (b"egretrock-", b"target-")
+
+
+def header_values(headers: HeaderList, name: bytes) -> list[bytes]:
+    """Returns the values of a field.
+
+    Args:
+        headers: Fields to search.
+        name: Name in lower case.
+
+    Example:
+        >>> header_values([(b"Host", b"a"), (b"host", b"b")], b"host")
+        [b'a', b'b']
+    """
+    return [value for key, value in headers if key.lower() == name]
+
+
+def filter_request_headers(headers: HeaderList) -> HeaderList:
+    """Returns what a target may see of a caller's header fields.
+
+    Removed are hop-by-hop fields, fields that ``Connection`` names, framing
+    fields, and fields by which a caller could pose as the node. Names are
+    compared with ``_`` read as ``-``, because many server interfaces do not
+    distinguish the two.
+
+    Example:
+        >>> filter_request_headers(
+        ...     [
+        ...         (b"Connection", b"close, X-A"),
+        ...         (b"x-a", b"1"),
+        ...         (b"Egretrock_Organisation", b"acme"),
+        ...         (b"Accept", b"*/*"),
+        ...     ]
+        ... )
+        [(b'Accept', b'*/*')]
+    """
+    named = _connection_tokens(headers)
+    kept = []
+    for field in headers:
+        name = field[0].lower()
+        if b"_" in name:
+            name = name.replace(b"_", b"-")
+        if name in _REMOVED or name in named:
+            continue
+        if name.startswith(_POSING_PREFIXES):
+            continue
+        kept.append(field)
+    return kept
+
+
+def filter_response_headers(headers: HeaderList) -> HeaderList:
+    """Returns what a caller may see of a target's header fields."""
+    named = _connection_tokens(headers)
+    kept = []
+    for field in headers:
+        name = field[0].lower()
+        if name in _HOP_BY_HOP or name == b"content-length" or name in named:
+            continue
+        if name.startswith(_FROM_TARGET_ONLY):
+            continue
+        kept.append(field)
+    return kept
+
+
+def _connection_tokens(headers: HeaderList) -> frozenset[bytes]:
+    values = [value for key, value in headers if key.lower() == b"connection"]
+    if not values:
+        return frozenset()
+    # Host stays, because a request without it is malformed.
+    return frozenset(split_tokens(values)) - {b"host"}
+
+
+def split_tokens(values: Iterable[bytes]) -> list[bytes]:
+    """Returns the lower-case members of comma-separated lists.
+
+    Example:
+        >>> split_tokens([b"close, X-A", b"te"])
+        [b'close', b'x-a', b'te']
+    """
+    members = b",".join(values).lower().split(b",")
+    return [stripped for member in members if (stripped := member.strip())]
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_body.py
@@ -0,0 +1,62 @@
+"""The body of a request on its way from the caller to a target."""
+
+
+class BodyBuffer:
+    """Holds the start of a body, so that it can be sent more than once.
+
+    A body within ``limit_bytes`` is kept until the answer begins. A larger
+    one is dropped as soon as it was sent, and can then not be sent again.
+
+    Attributes:
+        complete: Whether the whole body has arrived.
+        replayable: Whether all bytes so far are held.
+        received_bytes: Bytes received so far.
+        pieces: Bytes held, in order.
+    """
+
+    __slots__ = (
+        "_limit_bytes",
+        "complete",
+        "pieces",
+        "received_bytes",
+        "replayable",
+    )
+
+    def __init__(self, limit_bytes: int) -> None:
+        self._limit_bytes = limit_bytes
+        self.complete = False
+        self.replayable = True
+        self.received_bytes = 0
+        self.pieces: list[bytes] = []
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no more should be read before something was sent."""
+        return self.received_bytes >= self._limit_bytes
+
+    def add(self, data: bytes, sent: bool) -> None:
+        """Takes a piece.
+
+        Args:
+            data: The piece.
+            sent: Whether it went to the target already.
+        """
+        self.received_bytes += len(data)
+        if not sent or (self.replayable and not self._is_over):
+            self.pieces.append(data)
+        elif self.replayable:
+            self.drop()
+
+    def after_send(self) -> None:
+        """Called once what is held was sent; drops what is too large."""
+        if self._is_over or (self.is_full and not self.complete):
+            self.drop()
+
+    def drop(self) -> None:
+        """Gives up the held bytes."""
+        self.pieces = []
+        self.replayable = False
+
+    @property
+    def _is_over(self) -> bool:
+        return self.received_bytes > self._limit_bytes
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -0,0 +1,721 @@
+"""The steps of a request, from its head to its answer or refusal."""
+
+import itertools
+
+from egretrock.coordination.base import Counters, Outbound
+from egretrock.state.config import (
+    Access,
+    DataCentreState,
+    PublishedConfig,
+    TargetPublishedState,
+)
+from egretrock.state.ids import (
+    AttemptId,
+    Incarnation,
+    InstanceId,
+    RequestId,
+    ServiceId,
+    TargetId,
+    TicketId,
+)
+from egretrock.state.outcome import (
+    Refusal,
+    RefusalCode,
+    RetryReason,
+    RunState,
+)
+from egretrock_node.protocol.http import (
+    Credentials,
+    RequestHead,
+    RequestIds,
+    Routing,
+    TargetProtocol,
+    bad_request,
+    digest_key,
+    filter_request_headers,
+    header_values,
+)
+from egretrock_node.protocol.requests._exchange import (
+    Exchange,
+    Try,
+    no_answer,
+)
+from egretrock_node.protocol.requests._ports import (
+    CallerPort,
+    Environment,
+    Parts,
+    PipelineSettings,
+    TargetPort,
+)
+from egretrock_node.protocol.requests._suspicions import (
+    Suspicion,
+    Suspicions,
+)
+from egretrock_node.protocol.requests._values import (
+    NO_ORGANISATION,
+    Assignment,
+    BeginOutcome,
+    BeginResult,
+    CallFailure,
+    CallResult,
+    CallState,
+    InFlight,
+    QueuedRequest,
+    RecordKey,
+    Stage,
+    TryFailure,
+)
+
+_MAX_IDEMPOTENCY_KEY_BYTES = 255
+#: Slot time assumed for a service before the first answer.
+_FIRST_SLOT_TIME_S = 0.05
+#: Weight of the newest answer in the mean slot time.
+_SLOT_TIME_WEIGHT = 0.05
+#: A target that is silent for this many mean slot times is not just slow.
+_SILENT_SLOT_TIMES = 20.0
+#: Permits in turn that may expire or become invalid before their use.
+_MAX_ASKS = 20
+
+
+class RequestPipeline:
+    """Runs requests through the steps of design section 11.
+
+    It holds no socket and no timer. The transport calls ``start`` and the
+    methods of the exchange; the daemon calls ``on_tick`` every few
+    milliseconds and ``poll`` after messages from other nodes.
+
+    Args:
+        parts: The coordination parts.
+        targets: Connections to targets.
+        environment: Clock, messages and counters.
+        settings: Bounds.
+        credentials: Adapter for the place of the callers' keys.
+        protocol: Adapter for the targets' protocol.
+        incarnation: Incarnation of the process.
+    """
+
+    def __init__(
+        self,
+        parts: Parts,
+        targets: TargetPort,
+        environment: Environment,
+        settings: PipelineSettings,
+        credentials: Credentials,
+        protocol: TargetProtocol,
+        incarnation: Incarnation,
+    ) -> None:
+        self._parts = parts
+        self._targets = targets
+        self._clock = environment.clock
+        self._send_out = environment.send
+        self.counters: Counters = environment.counters
+        self.settings = settings
+        self._credentials = credentials
+        self.protocol = protocol
+        self._ids = RequestIds(incarnation)
+        self._tickets = itertools.count(1)
+        self._waiting: dict[TicketId, Exchange] = {}
+        self._beginning: dict[AttemptId, Exchange] = {}
+        self._in_flight: dict[RequestId, Exchange] = {}
+        self._routing: Routing | None = None
+        self._out_since_s: float | None = None
+        self._instances: dict[TargetId, InstanceId] = {}
+        self._suspicions = Suspicions()
+        self._slot_time_s: dict[ServiceId, float] = {}
+        self._refuses_new = False
+
+    def now(self) -> float:
+        """Returns the time of the node's clock, in seconds."""
+        return self._clock()
+
+    # Entry points of the transport and the daemon.
+
+    def start(self, head: RequestHead, caller: CallerPort) -> Exchange:
+        """Takes the head of a request and makes the checks on it."""
+        now_s = self.now()
+        exchange = Exchange(self, caller, head, self._ids.draw(), now_s)
+        self._in_flight[exchange.request_id] = exchange
+        refusal = self._check_head(exchange, now_s)
+        if refusal is not None:
+            exchange.refuse(refusal)
+        elif head.expects_continue:
+            exchange.send_continue()
+        return exchange
+
+    def on_tick(self, now_s: float) -> None:
+        """Ends what is past its deadline and gives up silent targets."""
+        for exchange in list(self._in_flight.values()):
+            if now_s >= exchange.deadline_s:
+                self._expire(exchange)
+            elif exchange.is_silent(now_s):
+                self._give_up_silent(exchange)
+        self._parts.queue.expire(now_s)
+        self.poll(now_s)
+
+    def poll(self, now_s: float) -> None:
+        """Takes what the coordination parts have decided."""
+        for result in self._parts.idempotency.poll(now_s):
+            self._on_begin(result, now_s)
+        for assignment in self._parts.permits.poll(now_s):
+            self._on_assignment(assignment, now_s)
+
+    def refuse_new(self) -> None:
+        """Refuses requests that start from now on; for the end of a drain."""
+        self._refuses_new = True
+
+    def in_flight(self) -> list[InFlight]:
+        """Returns the requests that have no complete answer yet."""
+        now_s = self.now()
+        return [e.in_flight(now_s) for e in self._in_flight.values()]
+
+    @property
+    def in_flight_count(self) -> int:
+        """Number of requests that have no complete answer yet."""
+        return len(self._in_flight)
+
+    def cut(self) -> list[InFlight]:
+        """Ends all requests at once and returns what was cut off."""
+        report = self.in_flight()
+        message = "the node stopped before the request was complete"
+        for exchange in list(self._in_flight.values()):
+            self.withdraw(exchange)
+            exchange.refuse(no_answer(RefusalCode.NODE_DRAINING, message))
+        return report
+
+    # The steps.
+
+    def _check_head(self, exchange: Exchange, now_s: float) -> Refusal | None:
+        head = exchange.head
+        presented = self._credentials.extract(head.headers, head.query)
+        if presented.is_error():
+            return presented.error
+        routing = self._current_routing(now_s)
+        if routing is None:
+            return self._not_ready()
+        found = routing.match(head.path, head.method)
+        if found.is_error():
+            return found.error
+        match = found.ok
+        exchange.match = match
+        exchange.headers = filter_request_headers(presented.ok.headers)
+        exchange.query = presented.ok.query
+        exchange.deadline_s = now_s + match.profile.deadline_ms / 1000
+        if match.route.access is Access.KEYED:
+            key = presented.ok.key
+            if key is None:
+                message = "the route needs a key and the request has none"
+                return no_answer(RefusalCode.KEY_MISSING, message)
+            exchange.digest = digest_key(key)
+            exchange.organisation = routing.organisation_of(exchange.digest)
+            if exchange.organisation is None:
+                return self._key_unknown()
+        refusal = self._check_node(now_s)
+        if refusal is not None or match.route.idempotent:
+            return refusal
+        return self._read_record_key(exchange)
+
+    def _check_node(self, now_s: float) -> Refusal | None:
+        fleet = self._parts.fleet
+        if not fleet.is_fresh(now_s):
+            return self._not_fresh()
+        if not fleet.is_ready(now_s):
+            return self._not_ready()
+        if self._refuses_new:
+            message = "the node is stopping"
+            return no_answer(RefusalCode.NODE_DRAINING, message)
+        out_s = self._out_since_s
+        if out_s is not None and now_s - out_s >= self.settings.out_grace_s:
+            message = (
+                f"data centre {self.settings.data_centre!r} is out of service"
+            )
+            return no_answer(RefusalCode.DATA_CENTRE_OUT, message)
+        return None
+
+    def _read_record_key(self, exchange: Exchange) -> Refusal | None:
+        values = header_values(exchange.head.headers, b"idempotency-key")
+        if not values:
+            return None
+        value = values[0].strip()
+        if len(values) > 1 or not value:
+            return bad_request("Idempotency-Key must be given once, not empty")
+        if len(value) > _MAX_IDEMPOTENCY_KEY_BYTES:
+            return bad_request(
+                f"Idempotency-Key has {len(value)} bytes;"
+                f" at most {_MAX_IDEMPOTENCY_KEY_BYTES} are allowed"
+            )
+        exchange.record = RecordKey(
+            exchange.organisation or NO_ORGANISATION,
+            exchange.match.id,
+            value.decode("latin-1"),
+        )
+        return None
+
+    def admit(self, exchange: Exchange) -> None:
+        """Goes on once the body is at hand, or as much of it as is held."""
+        now_s = self.now()
+        refusal = self._check_again(exchange, now_s)
+        if refusal is None:
+            refusal = self._check_node(now_s)
+        if refusal is not None:
+            exchange.refuse(refusal)
+        elif exchange.record is None:
+            self._admit_first(exchange, now_s)
+        else:
+            exchange.stage = Stage.IDEMPOTENCY
+            exchange.attempt = AttemptId(exchange.request_id)
+            self._beginning[exchange.attempt] = exchange
+            self._send(
+                self._parts.idempotency.begin(
+                    exchange.record, exchange.attempt, now_s
+                )
+            )
+            self.poll(now_s)
+
+    def _on_begin(self, result: BeginResult, now_s: float) -> None:
+        exchange = self._beginning.pop(result.attempt, None)
+        if exchange is None or exchange.is_done:
+            return
+        if result.outcome is BeginOutcome.FIRST:
+            refusal = self._check_again(exchange, now_s)
+            if refusal is not None:
+                exchange.refuse(refusal)
+            else:
+                self._admit_first(exchange, now_s)
+            return
+        # The record is not this attempt's, so its end is not reported.
+        exchange.record = None
+        if result.outcome is BeginOutcome.SEEN:
+            state = result.run_state or RunState.UNKNOWN
+            status = f", status {result.status}" if result.status else ""
+            message = (
+                "the Idempotency-Key was used before; run state of the first"
+                f" request: {state.value}{status}"
+            )
+            code = RefusalCode.DUPLICATE_REQUEST
+            exchange.refuse(Refusal(code, state, message))
+        else:
+            message = "no node can tell whether the Idempotency-Key was used"
+            code = RefusalCode.IDEMPOTENCY_UNAVAILABLE
+            exchange.refuse(no_answer(code, message))
+
+    def _admit_first(self, exchange: Exchange, now_s: float) -> None:
+        fingerprint = exchange.seal_fingerprint()
+        checked = self._parts.quarantine.check(fingerprint, now_s)
+        if checked.is_error():
+            exchange.refuse(checked.error)
+            return
+        if exchange.organisation is not None:
+            admitted = self._parts.limits.admit(exchange.organisation, now_s)
+            if admitted.is_error():
+                exchange.refuse(admitted.error)
+                return
+        self._enqueue(exchange, now_s)
+
+    def _enqueue(self, exchange: Exchange, now_s: float) -> None:
+        ticket = self._new_ticket(exchange)
+        service = exchange.match.route.service
+        item = QueuedRequest(
+            ticket,
+            exchange.organisation or NO_ORGANISATION,
+            service,
+            self._slot_time_s.get(service, _FIRST_SLOT_TIME_S),
+            exchange.deadline_s,
+        )
+        offered = self._parts.queue.offer(item, now_s)
+        if offered.is_error():
+            del self._waiting[ticket]
+            exchange.refuse(offered.error)
+            return
+        exchange.in_queue = True
+        self._ask_permit(exchange, now_s)
+
+    def _ask_permit(self, exchange: Exchange, now_s: float) -> None:
+        exchange.stage = Stage.QUEUED
+        self._send(
+            self._parts.permits.request(
+                exchange.ticket,
+                exchange.match.route.service,
+                exchange.organisation or NO_ORGANISATION,
+                exchange.excluded,
+                exchange.deadline_s,
+                now_s,
+            )
+        )
+        for assignment in self._parts.permits.poll(now_s):
+            self._on_assignment(assignment, now_s)
+
+    def _on_assignment(self, assignment: Assignment, now_s: float) -> None:
+        exchange = self._waiting.pop(assignment.ticket, None)
+        if exchange is not None and exchange.in_queue:
+            exchange = self._next_in_turn(exchange, now_s)
+        if exchange is None or exchange.is_done:
+            unused = CallResult(False, 0.0, None, None)
+            self._send(
+                self._parts.permits.finish(assignment.permit, unused, now_s)
+            )
+            return
+        exchange.ticket = None
+        exchange.stage = Stage.CONNECTING
+        call = Try(exchange, self, assignment.permit)
+        exchange.call = call
+        call.handle = self._targets.call(
+            assignment.permit.address,
+            exchange.request_id.encode(),
+            not exchange.may_repeat,
+            call,
+        )
+        call.handle.start()
+
+    def _next_in_turn(self, asker: Exchange, now_s: float) -> Exchange | None:
+        """Gives a permit to the request whose turn it is.
+
+        The ticket of that request stays outstanding and passes to the one
+        whose ticket was answered.
+        """
+        service = asker.match.route.service
+        while item := self._parts.queue.take(service, now_s):
+            if item.ticket == asker.ticket:
+                chosen = asker
+                break
+            other = self._waiting.pop(item.ticket, None)
+            if other is None:
+                continue  # Its caller has left.
+            asker.ticket = item.ticket
+            self._waiting[item.ticket] = asker
+            chosen = other
+            break
+        else:
+            # The queue no longer holds the asker, so it cannot wait on.
+            message = "the queue gave the place to another organisation"
+            asker.refuse(no_answer(RefusalCode.QUEUE_FULL, message))
+            return None
+        chosen.in_queue = False
+        return chosen
+
+    # The checks at each moment of acting.
+
+    def confirm_dispatch(
+        self, exchange: Exchange, call: Try, now_s: float
+    ) -> bool:
+        """Checks whether a request may be sent now; otherwise moves it on."""
+        refusal = self._check_again(exchange, now_s)
+        if refusal is None:
+            checked = self._parts.quarantine.check(exchange.fingerprint, now_s)
+            refusal = checked.error if checked.is_error() else None
+        if refusal is not None:
+            self._drop_try(exchange, call, now_s)
+            exchange.refuse(refusal)
+            return False
+        usable = self._is_usable(exchange, call)
+        if usable and self._parts.permits.may_dispatch(call.permit, now_s):
+            exchange.tries += 1
+            return True
+        self.counters.increment("permits.unused")
+        if not usable:
+            exchange.excluded |= {call.permit.target}
+        self._drop_try(exchange, call, now_s)
+        exchange.asks += 1
+        if exchange.asks > _MAX_ASKS:
+            message = f"{_MAX_ASKS} permits in turn were not usable"
+            exchange.refuse(no_answer(RefusalCode.NO_TARGET, message))
+            return False
+        self._new_ticket(exchange)
+        self._ask_permit(exchange, now_s)
+        return False
+
+    def _check_again(self, exchange: Exchange, now_s: float) -> Refusal | None:
+        """Checks what may have changed while the request waited."""
+        if now_s >= exchange.deadline_s:
+            return self._deadline_exceeded()
+        if not self._parts.fleet.is_fresh(now_s):
+            return self._not_fresh()
+        if exchange.digest is not None:
+            routing = self._current_routing(now_s)
+            owner = routing and routing.organisation_of(exchange.digest)
+            if owner != exchange.organisation:
+                return self._key_unknown()
+        return None
+
+    def _is_usable(self, exchange: Exchange, call: Try) -> bool:
+        routing = self._routing
+        service = exchange.match.route.service
+        services = routing.config.services if routing else {}
+        permit = call.permit
+        if service not in services:
+            return False
+        target = services[service].targets.get(permit.target)
+        if target is None or target.address != permit.address:
+            return False
+        if target.state is not TargetPublishedState.ACTIVE:
+            return False
+        centre = routing.config.data_centres.get(target.data_centre)
+        return centre is not None and centre.state is DataCentreState.IN
+
+    def _current_routing(self, now_s: float) -> Routing | None:
+        config = self._parts.fleet.config()
+        if config is None:
+            return None
+        if self._routing is None or self._routing.config is not config:
+            self._routing = Routing(config)
+            self._on_new_config(config, now_s)
+        return self._routing
+
+    def _on_new_config(self, config: PublishedConfig, now_s: float) -> None:
+        own = config.data_centres.get(self.settings.data_centre)
+        if own is None or own.state is DataCentreState.IN:
+            self._out_since_s = None
+        elif self._out_since_s is None:
+            self._out_since_s = now_s
+        listed = {t for s in config.services.values() for t in s.targets}
+        for target in self._instances.keys() - listed:
+            del self._instances[target]
+        for service in self._slot_time_s.keys() - config.services.keys():
+            del self._slot_time_s[service]
+
+    # What tries and exchanges tell.
+
+    def progress_s(self, exchange: Exchange) -> float:
+        """Returns for how many seconds a target may be silent.
+
+        A request that must not be sent twice gains nothing from being given
+        up early, so it waits for its deadline unless its answer has begun.
+        """
+        if not exchange.may_repeat and exchange.stage is not Stage.ANSWERING:
+            return float("inf")
+        match = exchange.match
+        mean_s = self._slot_time_s.get(match.route.service, _FIRST_SLOT_TIME_S)
+        longest_s = (
+            match.profile.deadline_ms / 1000 * self.settings.progress_ratio
+        )
+        patience_s = max(
+            self.settings.min_progress_s, _SILENT_SLOT_TIMES * mean_s
+        )
+        return min(longest_s, patience_s)
+
+    def on_instance(
+        self, target: TargetId, instance: InstanceId | None
+    ) -> None:
+        """Notes which instance of a target answered."""
+        if instance is None or self._instances.get(target) == instance:
+            return
+        self._instances[target] = instance
+        now_s = self.now()
+        self._report(
+            self._suspicions.take_answered(target, instance, now_s), now_s
+        )
+
+    def on_try_end(
+        self, exchange: Exchange, call: Try, result: CallResult
+    ) -> None:
+        """A try brought a complete answer."""
+        now_s = self.now()
+        exchange.call = None
+        self._settle(exchange, call, result, now_s)
+        service = exchange.match.route.service
+        mean_s = self._slot_time_s.get(service, result.latency_s)
+        self._slot_time_s[service] = mean_s + _SLOT_TIME_WEIGHT * (
+            result.latency_s - mean_s
+        )
+        self._send(self._parts.quarantine.clear(exchange.fingerprint, now_s))
+
+    def on_try_failed(
+        self, exchange: Exchange, call: Try, failure: TryFailure
+    ) -> None:
+        """A try brought no complete answer."""
+        now_s = self.now()
+        exchange.call = None
+        if call.is_sent and failure.run_state is RunState.NOT_RUN:
+            exchange.run_state = call.earlier_run_state
+        self._settle(exchange, call, call.result(failure.reason), now_s)
+        target = call.permit.target
+        if failure.refused:
+            proven = self._suspicions.take_refused(target, now_s)
+            self._report(proven, now_s)
+        answering = exchange.stage is Stage.ANSWERING
+        is_lost = failure.reason is RetryReason.CONNECTION_LOST and call.is_sent
+        if is_lost:
+            self._suspect(exchange, call, now_s)
+            if not answering and self._may_repeat(exchange, call):
+                exchange.stage = Stage.CHECKING
+
+            def on_checked(is_alive: bool) -> None:
+                self._on_checked(exchange, call, failure, is_alive)
+
+            self._targets.check_alive(call.permit.address, on_checked)
+            if exchange.stage is Stage.CHECKING or exchange.is_done:
+                return
+        if answering:
+            exchange.break_off()
+        else:
+            self._retry(exchange, call, failure, now_s)
+
+    def _on_checked(
+        self,
+        exchange: Exchange,
+        call: Try,
+        failure: TryFailure,
+        is_alive: bool,
+    ) -> None:
+        """The target of a lost connection was found alive or refusing."""
+        now_s = self.now()
+        if not is_alive:
+            proven = self._suspicions.take_refused(call.permit.target, now_s)
+            self._report(proven, now_s)
+        if exchange.stage is not Stage.CHECKING:
+            return
+        if is_alive:
+            self._retry(exchange, call, failure, now_s)
+        else:
+            exchange.refuse(_refusal_of(failure))
+
+    def _suspect(self, exchange: Exchange, call: Try, now_s: float) -> None:
+        target = call.permit.target
+        instance = call.permit.instance or self._instances.get(target)
+        # Targets that name no instance are told apart by their own name.
+        suspicion = Suspicion(
+            exchange.fingerprint, target, instance or InstanceId(target), now_s
+        )
+        self._suspicions.add(suspicion)
+
+    def _report(self, proven: list[Suspicion], now_s: float) -> None:
+        for suspicion in proven:
+            self.counters.increment("crash_evidence")
+            self._send(
+                self._parts.quarantine.report(
+                    suspicion.fingerprint,
+                    suspicion.target,
+                    suspicion.instance,
+                    now_s,
+                )
+            )
+
+    def _may_repeat(self, exchange: Exchange, call: Try) -> bool:
+        if not call.is_sent:
+            return True
+        return exchange.may_repeat and exchange.body.replayable
+
+    def _retry(
+        self, exchange: Exchange, call: Try, failure: TryFailure, now_s: float
+    ) -> None:
+        refusal = self._check_again(exchange, now_s)
+        if refusal is not None:
+            exchange.refuse(refusal)
+            return
+        if self._may_repeat(exchange, call):
+            state = CallState(
+                exchange.match.route.service,
+                exchange.may_repeat,
+                exchange.tries,
+                exchange.deadline_s,
+                exchange.body.replayable,
+            )
+            reason = CallFailure(failure.reason, failure.run_state)
+            decision = self._parts.retries.may_retry(state, reason, now_s)
+            if decision.allowed:
+                self.counters.increment(f"retries.{failure.reason.value}")
+                exchange.excluded |= {call.permit.target}
+                self._new_ticket(exchange)
+                self._ask_permit(exchange, now_s)
+                return
+        exchange.refuse(_refusal_of(failure))
+
+    def withdraw(self, exchange: Exchange) -> None:
+        """Takes a request back from wherever it waits or runs."""
+        now_s = self.now()
+        if exchange.ticket is not None:
+            if self._waiting.pop(exchange.ticket, None) is not None:
+                self._send(self._parts.permits.cancel(exchange.ticket, now_s))
+            exchange.ticket = None
+        call = exchange.call
+        if call is not None and call.is_active:
+            call.abandon(exchange.is_silent(now_s))
+            self._drop_try(exchange, call, now_s)
+
+    def on_exchange_end(
+        self, exchange: Exchange, outcome: str, status: int | None
+    ) -> None:
+        """An exchange is over."""
+        self._in_flight.pop(exchange.request_id, None)
+        self.withdraw(exchange)
+        self.counters.increment(f"requests.{outcome}")
+        if exchange.attempt is None or exchange.record is None:
+            return
+        self._beginning.pop(exchange.attempt, None)
+        answered = outcome == "answered"
+        self._send(
+            self._parts.idempotency.complete(
+                exchange.record,
+                exchange.attempt,
+                RunState.RUN if answered else exchange.run_state,
+                status if answered else None,
+                self.now(),
+            )
+        )
+
+    def _expire(self, exchange: Exchange) -> None:
+        self.withdraw(exchange)
+        exchange.refuse(self._deadline_exceeded())
+
+    def _give_up_silent(self, exchange: Exchange) -> None:
+        call = exchange.call
+        call.abandon(silent=True)
+        message = "the target made no progress"
+        failure = TryFailure(
+            RetryReason.PROGRESS_TIMEOUT, RunState.UNKNOWN, message
+        )
+        self.on_try_failed(exchange, call, failure)
+
+    def _drop_try(self, exchange: Exchange, call: Try, now_s: float) -> None:
+        """Returns the permit of a try that is not pursued."""
+        call.is_active = False
+        exchange.call = None
+        self._settle(exchange, call, call.result(None), now_s)
+
+    def _settle(
+        self, exchange: Exchange, call: Try, result: CallResult, now_s: float
+    ) -> None:
+        self._send(self._parts.permits.finish(call.permit, result, now_s))
+        if call.is_sent:
+            self._parts.queue.settle(
+                exchange.organisation or NO_ORGANISATION,
+                exchange.match.route.service,
+                result.latency_s,
+            )
+
+    def _new_ticket(self, exchange: Exchange) -> TicketId:
+        ticket = TicketId(next(self._tickets))
+        exchange.ticket = ticket
+        self._waiting[ticket] = exchange
+        return ticket
+
+    def _send(self, messages: list[Outbound]) -> None:
+        if messages:
+            self._send_out(messages)
+
+    @staticmethod
+    def _key_unknown() -> Refusal:
+        message = "the key is not published, or was withdrawn"
+        return no_answer(RefusalCode.KEY_UNKNOWN, message)
+
+    @staticmethod
+    def _not_fresh() -> Refusal:
+        message = "the node could not confirm its configuration in time"
+        return no_answer(RefusalCode.NODE_NOT_FRESH, message)
+
+    @staticmethod
+    def _not_ready() -> Refusal:
+        message = "the node has not confirmed its configuration yet"
+        return no_answer(RefusalCode.NODE_NOT_READY, message)
+
+    @staticmethod
+    def _deadline_exceeded() -> Refusal:
+        message = "the deadline of the route's profile has passed"
+        return no_answer(RefusalCode.DEADLINE_EXCEEDED, message)
+
+
+def _refusal_of(failure: TryFailure) -> Refusal:
+    if failure.reason in (RetryReason.SHED, RetryReason.DRAINING):
+        code = RefusalCode.TARGET_REFUSED
+    else:
+        code = RefusalCode.TARGET_FAILED
+    return Refusal(code, failure.run_state, failure.message)
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -0,0 +1,176 @@
+"""Values of the request pipeline and of the parts it calls."""
+
+import enum
+
+import msgspec
+
+from egretrock.state.ids import (
+    AttemptId,
+    InstanceId,
+    OrganisationId,
+    RequestId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    TicketId,
+)
+from egretrock.state.outcome import RetryReason, RunState
+from egretrock_node.protocol.http import HeaderList
+
+#: Organisation of requests on open routes, which carry no key.
+NO_ORGANISATION = OrganisationId("")
+
+
+class Stage(enum.Enum):
+    """Where a request stands."""
+
+    BODY = "body"
+    IDEMPOTENCY = "idempotency"
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    SENT = "sent"
+    CHECKING = "checking"
+    ANSWERING = "answering"
+    DONE = "done"
+
+
+class InFlight(msgspec.Struct, frozen=True):
+    """A request that has no complete answer yet.
+
+    Attributes:
+        request_id: Id that the caller and the target know.
+        route: Route of the request.
+        stage: Where it stands.
+        run_state: Whether a target may have run it.
+        age_s: Seconds since its head arrived.
+    """
+
+    request_id: RequestId
+    route: RouteId
+    stage: Stage
+    run_state: RunState
+    age_s: float
+
+
+class OutgoingRequest(msgspec.Struct):
+    """A request as it goes to a target.
+
+    Attributes:
+        method: Method.
+        target: Path and query.
+        headers: Fields without those of the framing.
+        content_length: Bytes of the body, or None for a chunked body.
+        pieces: Body bytes that are at hand.
+        complete: Whether ``pieces`` is the whole body.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    content_length: int | None
+    pieces: list[bytes]
+    complete: bool
+
+
+class TryFailure(msgspec.Struct, frozen=True):
+    """A try that brought no complete answer.
+
+    Attributes:
+        reason: Reason.
+        run_state: ``NOT_RUN`` only where no byte can have left, or where the
+            target said that it did not run the request.
+        message: Text for people.
+        refused: Whether the target refused the connection.
+    """
+
+    reason: RetryReason
+    run_state: RunState
+    message: str
+    refused: bool = False
+
+
+class Permit(msgspec.Struct, frozen=True):
+    """The right to send one request to one target."""
+
+    target: TargetId
+    address: str
+    instance: InstanceId | None
+    expires_s: float
+
+
+class Assignment(msgspec.Struct, frozen=True):
+    """A permit for a waiting request."""
+
+    ticket: TicketId
+    permit: Permit
+
+
+class QueuedRequest(msgspec.Struct, frozen=True):
+    """A request in the fair queue."""
+
+    ticket: TicketId
+    organisation: OrganisationId
+    service: ServiceId
+    slot_time_s: float
+    deadline_s: float
+
+
+class CallResult(msgspec.Struct, frozen=True):
+    """How a permit was used."""
+
+    used: bool
+    latency_s: float
+    status: int | None
+    instance: InstanceId | None
+    cold: bool = False
+    draining: bool = False
+    shed: bool = False
+    failure: RetryReason | None = None
+
+
+class CallState(msgspec.Struct, frozen=True):
+    """A request for which a retry is considered."""
+
+    service: ServiceId
+    idempotent: bool
+    tries: int
+    deadline_s: float
+    replayable: bool
+
+
+class CallFailure(msgspec.Struct, frozen=True):
+    """Why the last try failed."""
+
+    reason: RetryReason
+    run_state: RunState
+
+
+class RetryDecision(msgspec.Struct, frozen=True):
+    """Whether a request may be sent again."""
+
+    allowed: bool
+
+
+class RecordKey(msgspec.Struct, frozen=True):
+    """Key of an idempotency record."""
+
+    organisation: OrganisationId
+    route: RouteId
+    key: str
+
+
+class BeginOutcome(enum.Enum):
+    """Answer to the question whether a key was used before."""
+
+    FIRST = "first"
+    SEEN = "seen"
+    UNAVAILABLE = "unavailable"
+
+
+class BeginResult(msgspec.Struct, frozen=True):
+    """Outcome of the start of a keyed request."""
+
+    attempt: AttemptId
+    outcome: BeginOutcome
+    run_state: RunState | None = None
+    status: int | None = None
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/__init__.py
@@ -0,0 +1,17 @@
+"""The HTTP/1.1 server that callers reach."""
+
+from egretrock_node.transport.caller._channel import (
+    CallerChannel,
+    CallerRequest,
+)
+from egretrock_node.transport.caller._server import (
+    CallerServer,
+    CallerServerSettings,
+)
+
+__all__ = [
+    "CallerChannel",
+    "CallerRequest",
+    "CallerServer",
+    "CallerServerSettings",
+]
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -0,0 +1,387 @@
+"""One connection of a caller."""
+
+import re
+from typing import TYPE_CHECKING
+
+from twisted.internet.interfaces import IPushProducer
+from twisted.python.failure import Failure
+from twisted.web.http import HTTPChannel, toChunk
+from zope.interface import implementer
+
+from egretrock.state.outcome import Refusal, RefusalCode, RunState
+from egretrock_node.protocol.http import (
+    MAX_LENGTH_DIGITS,
+    AnswerHead,
+    HeaderList,
+    RequestHead,
+    bad_request,
+    check_head,
+    is_persistent,
+    line_fault,
+    refusal_answer,
+)
+from egretrock_node.protocol.requests import Exchange
+
+if TYPE_CHECKING:
+    from egretrock_node.transport.caller._server import CallerServer
+
+_FIELD_NAME = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
+_WITHOUT_BODY = frozenset({204, 304})
+#: Unread body bytes that are read and dropped to keep a connection open.
+_MAX_DROPPED_BYTES = 65_536
+
+
+@implementer(IPushProducer)
+class CallerRequest:
+    """One request on a caller's connection.
+
+    ``twisted.web.http.Request`` collects the whole body before its resource
+    sees the request. This class takes its place at the channel and passes on
+    each piece as it arrives.
+
+    Args:
+        channel: Connection of the caller.
+        queued: Number of earlier requests; the channel passes it always.
+    """
+
+    def __init__(self, channel: "CallerChannel", queued: int = 0) -> None:
+        self._channel = channel
+        self.headers: HeaderList = []
+        self.exchange: Exchange | None = None
+        self._head: RequestHead | None = None
+        self._version = b"HTTP/1.1"
+        self._body_bytes = 0
+        self._is_body_complete = False
+        self._is_started = False
+        self._is_finished = False
+        self._is_chunked = False
+        self._has_body = True
+
+    def begin(self, head: RequestHead, version: bytes) -> None:
+        """Hands the head to the pipeline."""
+        self._head = head
+        self._version = version
+        pipeline = self._channel.server.pipeline
+        exchange = pipeline.start(head, self)
+        self.exchange = exchange
+
+    # What the channel calls.
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Takes a piece of the body."""
+        self._body_bytes += len(data)
+        if self._is_finished:
+            if self._body_bytes > _MAX_DROPPED_BYTES:
+                self._channel.close_soon()
+        elif self.exchange is not None and data:
+            self.exchange.on_body(data)
+
+    def requestReceived(  # noqa: N802
+        self, command: bytes, path: bytes, version: bytes
+    ) -> None:
+        """Takes the end of the body."""
+        self._is_body_complete = True
+        if self._is_finished:
+            self._channel.requestDone(self)
+        elif self.exchange is not None:
+            self.exchange.on_body_end()
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """The caller has left."""
+        self._is_finished = True
+        if self.exchange is not None:
+            self.exchange.on_caller_gone()
+
+    # What the pipeline calls.
+
+    def send_continue(self) -> None:
+        """Sends 100 Continue."""
+        self._channel.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def start_answer(self, head: AnswerHead) -> None:
+        """Sends the head of the answer."""
+        channel = self._channel
+        self._is_started = True
+        if channel.server.is_draining or not self._may_stay_open():
+            channel.persistent = False
+        method = self._head.method if self._head else b"GET"
+        self._has_body = method != b"HEAD" and head.status not in _WITHOUT_BODY
+        lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, head.reason)]
+        for name, value in head.headers:
+            lines += (name, b": ", value, b"\r\n")
+        if head.content_length is not None:
+            lines.append(b"Content-Length: %d\r\n" % head.content_length)
+        elif self._has_body:
+            if self._version == b"HTTP/1.1":
+                self._is_chunked = True
+                lines.append(b"Transfer-Encoding: chunked\r\n")
+            else:
+                channel.persistent = False
+        if not channel.persistent:
+            lines.append(b"Connection: close\r\n")
+        lines.append(b"\r\n")
+        channel.transport.write(b"".join(lines))
+        if self._has_body:
+            channel.registerProducer(self, True)
+
+    def write(self, data: bytes) -> None:
+        """Sends a piece of the answer's body."""
+        if not self._has_body:
+            return
+        if self._is_chunked:
+            self._channel.transport.writeSequence(toChunk(data))
+        else:
+            self._channel.transport.write(data)
+
+    def finish(self) -> None:
+        """Ends the answer."""
+        channel = self._channel
+        self._is_finished = True
+        if self._is_chunked:
+            channel.transport.write(b"0\r\n\r\n")
+        channel.unregisterProducer()
+        if self._is_body_complete:
+            channel.requestDone(self)
+        elif channel.persistent:
+            channel.dropping_since_s = channel.server.now()
+        else:
+            channel.close_soon()
+
+    def abort(self) -> None:
+        """Breaks the connection, so that the answer looks incomplete."""
+        self._is_finished = True
+        self._channel.unregisterProducer()
+        self._channel.transport.abortConnection()
+
+    def pause_body(self) -> None:
+        """Stops reading the request's body."""
+        self._channel.pause_body(True)
+
+    def resume_body(self) -> None:
+        """Reads on in the request's body."""
+        self._channel.pause_body(False)
+
+    # What the channel calls as the consumer of the answer.
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """The caller takes no more bytes."""
+        if self.exchange is not None:
+            self.exchange.on_caller_blocked(True)
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """The caller takes bytes again."""
+        if self.exchange is not None:
+            self.exchange.on_caller_blocked(False)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """The loss of the connection is told on its own."""
+
+    def _may_stay_open(self) -> bool:
+        """Returns whether the rest of the body is small enough to drop."""
+        if self._is_body_complete or self._head is None:
+            return True
+        length = self._head.content_length
+        if length is None or self._head.expects_continue:
+            return False
+        return length - self._body_bytes <= _MAX_DROPPED_BYTES
+
+
+class CallerChannel(HTTPChannel):
+    """A caller's connection: framing, order of requests, back pressure.
+
+    Args:
+        server: Owner of the connection.
+
+    Attributes:
+        idle_since_s: When the latest answer ended.
+        head_since_s: When the first byte of a head came, while it is not
+            whole.
+        dropping_since_s: When an answer ended before the body of its
+            request, while the rest of the body is read and dropped.
+        is_awaiting_head: Whether no request is in progress.
+    """
+
+    requestFactory = CallerRequest  # noqa: N815
+    # The server's sweep sets all time limits; a timer for each read costs
+    # more and would let a caller send one byte at a time for ever.
+    timeOut = None  # noqa: N815
+    maxHeaders = 200  # noqa: N815
+
+    def __init__(self, server: "CallerServer") -> None:
+        super().__init__()
+        self.server = server
+        self.MAX_LENGTH = server.settings.max_header_bytes
+        self.totalHeadersSize = server.settings.max_header_bytes
+        self.idle_since_s = server.now()
+        self.head_since_s: float | None = None
+        self.dropping_since_s: float | None = None
+        self.is_awaiting_head = True
+        self._is_faulty = False
+        self._closing_call = None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Registers the connection at the server."""
+        super().connectionMade()
+        self.server.on_open(self)
+
+    def connectionLost(self, reason: Failure) -> None:  # noqa: N802
+        """Tells the request in progress that its caller has left."""
+        self.server.on_lost(self)
+        if self._closing_call is not None:
+            self._closing_call.cancel()
+            self._closing_call = None
+        super().connectionLost(reason)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Takes bytes."""
+        if self._is_faulty:
+            return
+        if self.is_awaiting_head and self.head_since_s is None:
+            self.head_since_s = self.server.now()
+        # Not HTTPChannel.dataReceived, which resets its timer first.
+        super(HTTPChannel, self).dataReceived(data)
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Takes one line of a head."""
+        if self._is_faulty:
+            return
+        fault = line_fault(line)
+        if fault is not None:
+            self.refuse_framing(bad_request(fault))
+            return
+        super().lineReceived(line)
+
+    def lineLengthExceeded(self, line: bytes) -> None:  # noqa: N802
+        """Takes a line that is longer than all headers may be."""
+        self.refuse_framing(self._headers_too_large())
+
+    def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Takes a piece of a body, or what follows it."""
+        if not self._is_faulty:
+            super().rawDataReceived(data)
+
+    def headerReceived(self, line: bytes) -> bool:  # noqa: N802
+        """Takes one header field."""
+        if self._is_faulty:
+            return False
+        name, colon, value = line.partition(b":")
+        if not colon or not _FIELD_NAME.fullmatch(name):
+            self.refuse_framing(bad_request("malformed header field"))
+            return False
+        value = value.strip(b" \t")
+        lower = name.lower()
+        if lower == b"content-length":
+            if len(value) > MAX_LENGTH_DIGITS:
+                message = "Content-Length has too many digits"
+                self.refuse_framing(bad_request(message))
+                return False
+            if not self._maybeChooseTransferDecoder(b"Content-Length", value):
+                return False
+        elif lower == b"transfer-encoding":
+            if value.lower() != b"chunked":
+                message = "Transfer-Encoding must be chunked"
+                self.refuse_framing(bad_request(message))
+                return False
+            if not self._maybeChooseTransferDecoder(
+                b"Transfer-Encoding", value
+            ):
+                return False
+        headers = self.requests[-1].headers
+        headers.append((name, value))
+        if len(headers) > self.maxHeaders:
+            self.refuse_framing(self._headers_too_large())
+            return False
+        return True
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Takes the end of a head."""
+        if self._is_faulty:
+            return
+        self.is_awaiting_head = False
+        self.head_since_s = None
+        request = self.requests[-1]
+        checked = check_head(
+            self._command,
+            self._path,
+            self._version,
+            request.headers,
+            self.length,
+        )
+        if checked.is_error():
+            self.refuse_framing(checked.error)
+            return
+        self.persistent = is_persistent(self._version, request.headers)
+        request.begin(checked.ok, self._version)
+
+    def allContentReceived(self) -> None:  # noqa: N802
+        """Takes the end of a body."""
+        if not self._is_faulty:
+            super().allContentReceived()
+
+    def requestDone(self, request: CallerRequest) -> None:  # noqa: N802
+        """Goes on to the next request."""
+        self.is_awaiting_head = True
+        self.dropping_since_s = None
+        self.idle_since_s = self.server.now()
+        super().requestDone(request)
+
+    def refuse_framing(self, refusal: Refusal) -> None:
+        """Answers a framing fault and closes the connection."""
+        if self._is_faulty:
+            return
+        self._is_faulty = True
+        self.persistent = False
+        self.is_awaiting_head = False
+        request = self.requests[-1] if self.requests else None
+        if request is not None and request.exchange is not None:
+            request.exchange.on_caller_fault(refusal)
+        else:
+            answer = refusal_answer(refusal, None)
+            self.server.count_refusal(refusal)
+            writer = CallerRequest(self)
+            writer.start_answer(answer.head)
+            writer.write(answer.body)
+            writer.finish()
+        self.close_soon()
+
+    def pause_body(self, paused: bool) -> None:
+        """Stops or resumes reading, unless the next request is awaited."""
+        if self._handlingRequest or self._is_faulty:
+            return
+        if paused:
+            self._networkProducer.pauseProducing()
+        elif not self._waitingForTransport:
+            self._networkProducer.resumeProducing()
+
+    def close_soon(self) -> None:
+        """Ends the answer, then closes once the caller has read it.
+
+        Closing while unread bytes arrive would reset the connection, and the
+        caller might lose the answer. So only the write side ends at first.
+        """
+        if self._closing_call is None:
+            self._networkProducer.resumeProducing()
+            self._networkProducer.unregisterProducer()
+            self.transport.loseWriteConnection()
+            self._closing_call = self.server.call_later(
+                self.server.settings.linger_s, self._close_now
+            )
+
+    def _close_now(self) -> None:
+        self._closing_call = None
+        self.transport.abortConnection()
+
+    def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
+        """Called by twisted.web on the faults that it finds itself."""
+        if self._receivedHeaderSize > self.totalHeadersSize:
+            self.refuse_framing(self._headers_too_large())
+        else:
+            self.refuse_framing(bad_request("malformed framing"))
+
+    def _headers_too_large(self) -> Refusal:
+        return Refusal(
+            RefusalCode.HEADERS_TOO_LARGE,
+            RunState.NOT_RUN,
+            f"the head exceeds {self.totalHeadersSize} bytes"
+            f" or {self.maxHeaders} fields",
+        )
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -0,0 +1,169 @@
+"""The listening socket and the limits on callers' connections."""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+from twisted.internet.interfaces import IAddress, IListeningPort
+from twisted.internet.protocol import Factory, Protocol
+
+from egretrock.coordination.base import Counters
+from egretrock.state.outcome import Refusal, RefusalCode, RunState
+from egretrock_node.protocol.http import bad_request, refusal_answer
+from egretrock_node.protocol.requests import RequestPipeline
+from egretrock_node.transport.caller._channel import CallerChannel
+
+
+class CallerServerSettings(msgspec.Struct, frozen=True):
+    """Bounds of the callers' side.
+
+    Attributes:
+        max_connections: Connections at the same time.
+        max_header_bytes: Bytes of a request line with its headers.
+        idle_s: Seconds for which a connection may wait for a request.
+        head_s: Seconds in which a head must arrive whole.
+        linger_s: Seconds for which a connection that is being closed still
+            reads, so that the caller gets the answer.
+        drain_idle_s: Seconds of idleness after which a drain closes a
+            connection. Closing at once could cross a request on its way.
+    """
+
+    max_connections: int = 4096
+    max_header_bytes: int = 16_384
+    idle_s: float = 75.0
+    head_s: float = 10.0
+    linger_s: float = 1.0
+    drain_idle_s: float = 1.0
+
+
+class _TooMany(Protocol):
+    """Answers a connection above the limit and closes it."""
+
+    def __init__(self, server: "CallerServer") -> None:
+        self._server = server
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Answers without reading a request."""
+        refusal = Refusal(
+            RefusalCode.TOO_MANY_CONNECTIONS,
+            RunState.NOT_RUN,
+            f"{self._server.settings.max_connections} connections are open",
+            1000,
+        )
+        self._server.count_refusal(refusal)
+        answer = refusal_answer(refusal, None)
+        lines = [b"HTTP/1.1 %d Service Unavailable\r\n" % answer.head.status]
+        lines += [b"%b: %b\r\n" % field for field in answer.head.headers]
+        lines.append(b"Content-Length: %d\r\n" % len(answer.body))
+        lines.append(b"Connection: close\r\n\r\n")
+        lines.append(answer.body)
+        self.transport.write(b"".join(lines))
+        self.transport.loseConnection()
+
+
+class CallerServer(Factory):
+    """Accepts callers' connections.
+
+    Args:
+        reactor: Reactor that listens and keeps time.
+        pipeline: Takes the requests.
+        clock: Seconds of the node's monotonic clock.
+        counters: Counters of the node.
+        settings: Bounds.
+
+    Attributes:
+        is_draining: Whether answers ask callers to close.
+    """
+
+    noisy = False
+
+    def __init__(
+        self,
+        reactor: Any,
+        pipeline: RequestPipeline,
+        clock: Callable[[], float],
+        counters: Counters,
+        settings: CallerServerSettings,
+    ) -> None:
+        self._reactor = reactor
+        self.pipeline = pipeline
+        self.now = clock
+        self._counters = counters
+        self.settings = settings
+        self.is_draining = False
+        self._channels: set[CallerChannel] = set()
+        self._port: IListeningPort | None = None
+
+    @property
+    def connection_count(self) -> int:
+        """Open connections."""
+        return len(self._channels)
+
+    def listen(self, address: str, backlog: int = 1024) -> IListeningPort:
+        """Starts to accept connections.
+
+        Args:
+            address: ``"ip:port"``; port 0 takes any free port.
+            backlog: Connections that may wait to be accepted.
+        """
+        host, _, port = address.rpartition(":")
+        self._port = self._reactor.listenTCP(
+            int(port), self, backlog=backlog, interface=host.strip("[]")
+        )
+        return self._port
+
+    def drain(self) -> None:
+        """Accepts no more connections and closes idle ones in ``sweep``."""
+        self.is_draining = True
+        if self._port is not None:
+            self._port.stopListening()
+            self._port = None
+
+    def close(self) -> None:
+        """Breaks all connections; for the end of a drain."""
+        self.drain()
+        for channel in list(self._channels):
+            channel.transport.abortConnection()
+
+    def sweep(self, now_s: float) -> None:
+        """Applies the time limits; call it every second."""
+        settings = self.settings
+        idle_s = settings.drain_idle_s if self.is_draining else settings.idle_s
+        for channel in list(self._channels):
+            if channel.dropping_since_s is not None:
+                if now_s - channel.dropping_since_s >= settings.head_s:
+                    channel.close_soon()
+            elif not channel.is_awaiting_head:
+                continue
+            elif channel.head_since_s is not None:
+                if now_s - channel.head_since_s >= settings.head_s:
+                    message = f"the head took more than {settings.head_s} s"
+                    channel.refuse_framing(bad_request(message))
+            elif now_s - channel.idle_since_s >= 2 * idle_s:
+                # The caller does not read the end of its last answer.
+                channel.transport.abortConnection()
+            elif now_s - channel.idle_since_s >= idle_s:
+                channel.loseConnection()
+        self._counters.gauge("caller_connections.open", len(self._channels))
+
+    def buildProtocol(self, addr: IAddress) -> Protocol:  # noqa: N802
+        """Returns the protocol of an accepted connection."""
+        if len(self._channels) >= self.settings.max_connections:
+            return _TooMany(self)
+        return CallerChannel(self)
+
+    def on_open(self, channel: CallerChannel) -> None:
+        """A connection was accepted."""
+        self._channels.add(channel)
+
+    def on_lost(self, channel: CallerChannel) -> None:
+        """A connection is gone."""
+        self._channels.discard(channel)
+
+    def count_refusal(self, refusal: Refusal) -> None:
+        """Counts a refusal that the pipeline does not see."""
+        self._counters.increment(f"refusals.{refusal.code.value}")
+
+    def call_later(self, delay_s: float, callback: Callable[[], None]) -> Any:
+        """Calls ``callback`` after a delay, in seconds."""
+        return self._reactor.callLater(delay_s, callback)
