Test the request path against sockets, give up only where a retry can follow

Cause: nothing showed that framing faults, broken answers, cancels and retries are handled.

Change: retries and early give-up need a target that was not tried. The pool reports each idle connection that its target closed. The permit values follow the targets part (CallOutcome, new_connection, connection_lost, pool_empty).

--- a/packages/egretrock-node/src/egretrock_node/protocol/http/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/__init__.py
@@ -36,10 +36,10 @@
 from egretrock_node.protocol.http._routing import RouteMatch, Routing
 from egretrock_node.protocol.http._target_protocol import (
     AnswerSigns,
+    TargetCondition,
     TargetHealth,
     TargetLoad,
     TargetProtocol,
-    TargetState,
 )
 
 __all__ = [
@@ -55,10 +55,10 @@
     "RequestIds",
     "RouteMatch",
     "Routing",
+    "TargetCondition",
     "TargetHealth",
     "TargetLoad",
     "TargetProtocol",
-    "TargetState",
     "bad_request",
     "check_head",
     "digest_key",
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
@@ -8,7 +8,7 @@
 from egretrock_node.protocol.http._headers import HeaderList
 
 
-class TargetState(enum.Enum):
+class TargetCondition(enum.Enum):
     """State that a target reports about itself."""
 
     COLD = "cold"
@@ -20,7 +20,7 @@
     """Body of ``GET /health``."""
 
     instance: InstanceId
-    state: TargetState
+    state: TargetCondition
     uptime_s: float
 
 
@@ -38,16 +38,16 @@
 
     Attributes:
         instance: Instance that answered, or None where it is not named.
-        state: Reported state, or None.
+        condition: Reported state, or None.
         not_run: Whether the target says that it did not run the request.
     """
 
     instance: InstanceId | None
-    state: TargetState | None
+    condition: TargetCondition | None
     not_run: bool
 
 
-_STATES = {state.value.encode(): state for state in TargetState}
+_CONDITIONS = {c.value.encode(): c for c in TargetCondition}
 
 
 class TargetProtocol:
@@ -79,7 +79,7 @@
 
     def read_answer(self, status: int, headers: HeaderList) -> AnswerSigns:
         """Returns what the head of an answer tells about the target."""
-        instance = state = None
+        instance = condition = None
         not_run = False
         for name, value in headers:
             if len(name) < 12 or name[:7].lower() != b"target-":
@@ -88,10 +88,10 @@
             if lower == b"target-instance":
                 instance = InstanceId(value.decode("latin-1"))
             elif lower == b"target-state":
-                state = _STATES.get(value.strip().lower())
+                condition = _CONDITIONS.get(value.strip().lower())
             elif lower == b"target-not-run":
                 not_run = status == 503 and value.strip() == b"1"
-        return AnswerSigns(instance, state, not_run)
+        return AnswerSigns(instance, condition, not_run)
 
     def cancel_request(self, request_id: RequestId) -> tuple[bytes, bytes]:
         """Returns method and path that cancel a request."""
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -23,13 +23,14 @@
     HeaderList,
     RequestHead,
     RouteMatch,
-    TargetState,
+    TargetCondition,
     filter_response_headers,
     refusal_answer,
 )
 from egretrock_node.protocol.requests._body import BodyBuffer
 from egretrock_node.protocol.requests._ports import CallerPort, TryHandle
 from egretrock_node.protocol.requests._values import (
+    CallOutcome,
     CallResult,
     InFlight,
     OutgoingRequest,
@@ -131,13 +132,12 @@
     def on_caller_gone(self) -> None:
         """The caller's connection is lost: cancels the request."""
         if self.stage is not Stage.DONE:
-            self._pipeline.withdraw(self)
             self._end("cancelled", None)
 
     def on_caller_fault(self, refusal: Refusal) -> None:
         """The framing of the body is broken: nothing more can be read."""
         if self.stage is not Stage.DONE:
-            self._pipeline.withdraw(self)
+            self._pipeline.withdraw(self, CallOutcome.CANCELLED)
             self.refuse(refusal)
 
     def on_caller_blocked(self, blocked: bool) -> None:
@@ -174,14 +174,14 @@
             now_s - self.started_s,
         )
 
-    def is_silent(self, now_s: float) -> bool:
-        """Returns whether the target makes no progress although it could."""
+    def silent_s(self, now_s: float) -> float:
+        """Returns for how long the target made no progress, but could."""
         call = self.call
         if call is None or not call.is_sending or self._caller_blocked:
-            return False
+            return 0.0
         if not self.body.complete and not call.upload_blocked:
-            return False
-        return now_s - call.progress_s >= self._pipeline.progress_s(self)
+            return 0.0
+        return now_s - call.progress_s
 
     def refuse(self, refusal: Refusal) -> None:
         """Ends the request with a refusal, or breaks a started answer."""
@@ -327,7 +327,7 @@
         self.progress_s = 0.0
         self._status = 0
         self._instance: InstanceId | None = None
-        self._state: TargetState | None = None
+        self._condition: TargetCondition | None = None
 
     @property
     def is_sending(self) -> bool:
@@ -362,11 +362,11 @@
         self.progress_s = self._pipeline.now()
         signs = self._pipeline.protocol.read_answer(head.status, head.headers)
         self._status = head.status
-        self._instance, self._state = signs.instance, signs.state
+        self._instance, self._condition = signs.instance, signs.condition
         self._pipeline.on_instance(self.permit.target, signs.instance)
         if signs.not_run:
             self.handle.discard()
-            draining = signs.state is TargetState.DRAINING
+            draining = signs.condition is TargetCondition.DRAINING
             reason = RetryReason.DRAINING if draining else RetryReason.SHED
             message = "the target said that it did not run the request"
             self._fail(TryFailure(reason, RunState.NOT_RUN, message))
@@ -383,7 +383,11 @@
         """Takes the end of the answer."""
         if self.is_active:
             self.is_active = False
-            self._pipeline.on_try_end(self._exchange, self, self.result(None))
+            error = self._status >= 500
+            outcome = CallOutcome.ERROR if error else CallOutcome.OK
+            self._pipeline.on_try_end(
+                self._exchange, self, self.result(outcome)
+            )
             self._exchange.finish_answer(self._status)
 
     def on_failure(self, failure: TryFailure) -> None:
@@ -404,19 +408,14 @@
             self.is_active = False
             self.handle.abandon(silent)
 
-    def result(self, failure: RetryReason | None) -> CallResult:
+    def result(self, outcome: CallOutcome) -> CallResult:
         """Returns how the permit was used."""
-        latency_s = self._pipeline.now() - self.sent_s if self.is_sent else 0.0
-        return CallResult(
-            used=self.is_sent,
-            latency_s=latency_s,
-            status=self._status or None,
-            instance=self._instance,
-            cold=self._state is TargetState.COLD,
-            draining=self._state is TargetState.DRAINING,
-            shed=failure is RetryReason.SHED,
-            failure=failure,
-        )
+        if not self.is_sent:
+            if outcome is not CallOutcome.REFUSED:
+                outcome = CallOutcome.UNUSED
+            return CallResult(outcome)
+        latency_s = self._pipeline.now() - self.sent_s
+        return CallResult(outcome, latency_s, self._instance, self._condition)
 
     def _fail(self, failure: TryFailure) -> None:
         self.is_active = False
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -57,6 +57,7 @@
     BeginOutcome,
     BeginResult,
     CallFailure,
+    CallOutcome,
     CallResult,
     CallState,
     InFlight,
@@ -75,6 +76,13 @@
 _SILENT_SLOT_TIMES = 20.0
 #: Permits in turn that may expire or become invalid before their use.
 _MAX_ASKS = 20
+_OUTCOMES = {
+    RetryReason.CONNECT_FAILED: CallOutcome.REFUSED,
+    RetryReason.CONNECTION_LOST: CallOutcome.LOST,
+    RetryReason.SHED: CallOutcome.SHED,
+    RetryReason.DRAINING: CallOutcome.SHED,
+    RetryReason.PROGRESS_TIMEOUT: CallOutcome.TIMEOUT,
+}
 
 
 class RequestPipeline:
@@ -119,6 +127,7 @@
         self._in_flight: dict[RequestId, Exchange] = {}
         self._routing: Routing | None = None
         self._out_since_s: float | None = None
+        self._targets_at: dict[str, list[tuple[ServiceId, TargetId]]] = {}
         self._instances: dict[TargetId, InstanceId] = {}
         self._suspicions = Suspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
@@ -147,7 +156,9 @@
         for exchange in list(self._in_flight.values()):
             if now_s >= exchange.deadline_s:
                 self._expire(exchange)
-            elif exchange.is_silent(now_s):
+            elif exchange.silent_s(now_s) >= self._patience_s(
+                exchange
+            ) and self._gains_by_giving_up(exchange):
                 self._give_up_silent(exchange)
         self._parts.queue.expire(now_s)
         self.poll(now_s)
@@ -178,10 +189,26 @@
         report = self.in_flight()
         message = "the node stopped before the request was complete"
         for exchange in list(self._in_flight.values()):
-            self.withdraw(exchange)
+            self.withdraw(exchange, CallOutcome.CANCELLED)
             exchange.refuse(no_answer(RefusalCode.NODE_DRAINING, message))
         return report
 
+    # What the pool of connections tells.
+
+    def on_connection_lost(self, address: str) -> None:
+        """A target closed an idle connection."""
+        now_s = self.now()
+        for service, target in self._targets_at.get(address, ()):
+            self._send(
+                self._parts.permits.connection_lost(service, target, now_s)
+            )
+
+    def on_pool_empty(self, address: str) -> None:
+        """No connection to a target is open any more."""
+        now_s = self.now()
+        for service, target in self._targets_at.get(address, ()):
+            self._send(self._parts.permits.pool_empty(service, target, now_s))
+
     # The steps.
 
     def _check_head(self, exchange: Exchange, now_s: float) -> Refusal | None:
@@ -349,7 +376,7 @@
         if exchange is not None and exchange.in_queue:
             exchange = self._next_in_turn(exchange, now_s)
         if exchange is None or exchange.is_done:
-            unused = CallResult(False, 0.0, None, None)
+            unused = CallResult(CallOutcome.UNUSED)
             self._send(
                 self._parts.permits.finish(assignment.permit, unused, now_s)
             )
@@ -403,7 +430,7 @@
             checked = self._parts.quarantine.check(exchange.fingerprint, now_s)
             refusal = checked.error if checked.is_error() else None
         if refusal is not None:
-            self._drop_try(exchange, call, now_s)
+            self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
             exchange.refuse(refusal)
             return False
         usable = self._is_usable(exchange, call)
@@ -413,7 +440,7 @@
         self.counters.increment("permits.unused")
         if not usable:
             exchange.excluded |= {call.permit.target}
-        self._drop_try(exchange, call, now_s)
+        self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
         exchange.asks += 1
         if exchange.asks > _MAX_ASKS:
             message = f"{_MAX_ASKS} permits in turn were not usable"
@@ -451,6 +478,17 @@
         centre = routing.config.data_centres.get(target.data_centre)
         return centre is not None and centre.state is DataCentreState.IN
 
+    def _has_target_beyond(
+        self, exchange: Exchange, excluded: frozenset[TargetId]
+    ) -> bool:
+        """Returns whether a retry could be given any target at all."""
+        service = self._routing.config.services.get(
+            exchange.match.route.service
+        )
+        return service is not None and any(
+            target not in excluded for target in service.targets
+        )
+
     def _current_routing(self, now_s: float) -> Routing | None:
         config = self._parts.fleet.config()
         if config is None:
@@ -466,6 +504,11 @@
             self._out_since_s = None
         elif self._out_since_s is None:
             self._out_since_s = now_s
+        self._targets_at = {}
+        for service_id, service in config.services.items():
+            for target_id, target in service.targets.items():
+                at = self._targets_at.setdefault(target.address, [])
+                at.append((service_id, target_id))
         listed = {t for s in config.services.values() for t in s.targets}
         for target in self._instances.keys() - listed:
             del self._instances[target]
@@ -474,15 +517,11 @@
 
     # What tries and exchanges tell.
 
-    def progress_s(self, exchange: Exchange) -> float:
-        """Returns for how many seconds a target may be silent.
-
-        A request that must not be sent twice gains nothing from being given
-        up early, so it waits for its deadline unless its answer has begun.
-        """
-        if not exchange.may_repeat and exchange.stage is not Stage.ANSWERING:
-            return float("inf")
+    def _patience_s(self, exchange: Exchange) -> float:
+        """Returns after how many silent seconds a connection is in doubt."""
         match = exchange.match
+        if match is None:
+            return float("inf")
         mean_s = self._slot_time_s.get(match.route.service, _FIRST_SLOT_TIME_S)
         longest_s = (
             match.profile.deadline_ms / 1000 * self.settings.progress_ratio
@@ -492,6 +531,19 @@
         )
         return min(longest_s, patience_s)
 
+    def _gains_by_giving_up(self, exchange: Exchange) -> bool:
+        """Returns whether a silent try is better ended before its deadline.
+
+        A request that may not be sent again, or to no other target, gains
+        nothing; the answer may still come.
+        """
+        if exchange.stage is Stage.ANSWERING:
+            return True
+        excluded = exchange.excluded | {exchange.call.permit.target}
+        return exchange.may_repeat and self._has_target_beyond(
+            exchange, excluded
+        )
+
     def on_instance(
         self, target: TargetId, instance: InstanceId | None
     ) -> None:
@@ -526,7 +578,8 @@
         exchange.call = None
         if call.is_sent and failure.run_state is RunState.NOT_RUN:
             exchange.run_state = call.earlier_run_state
-        self._settle(exchange, call, call.result(failure.reason), now_s)
+        result = call.result(_OUTCOMES[failure.reason])
+        self._settle(exchange, call, result, now_s)
         target = call.permit.target
         if failure.refused:
             proven = self._suspicions.take_refused(target, now_s)
@@ -601,7 +654,10 @@
         if refusal is not None:
             exchange.refuse(refusal)
             return
-        if self._may_repeat(exchange, call):
+        excluded = exchange.excluded | {call.permit.target}
+        if self._may_repeat(exchange, call) and self._has_target_beyond(
+            exchange, excluded
+        ):
             state = CallState(
                 exchange.match.route.service,
                 exchange.may_repeat,
@@ -613,13 +669,13 @@
             decision = self._parts.retries.may_retry(state, reason, now_s)
             if decision.allowed:
                 self.counters.increment(f"retries.{failure.reason.value}")
-                exchange.excluded |= {call.permit.target}
+                exchange.excluded = excluded
                 self._new_ticket(exchange)
                 self._ask_permit(exchange, now_s)
                 return
         exchange.refuse(_refusal_of(failure))
 
-    def withdraw(self, exchange: Exchange) -> None:
+    def withdraw(self, exchange: Exchange, outcome: CallOutcome) -> None:
         """Takes a request back from wherever it waits or runs."""
         now_s = self.now()
         if exchange.ticket is not None:
@@ -628,15 +684,16 @@
             exchange.ticket = None
         call = exchange.call
         if call is not None and call.is_active:
-            call.abandon(exchange.is_silent(now_s))
-            self._drop_try(exchange, call, now_s)
+            silent_s = exchange.silent_s(now_s)
+            call.abandon(silent_s >= self._patience_s(exchange))
+            self._drop_try(exchange, call, outcome, now_s)
 
     def on_exchange_end(
         self, exchange: Exchange, outcome: str, status: int | None
     ) -> None:
         """An exchange is over."""
         self._in_flight.pop(exchange.request_id, None)
-        self.withdraw(exchange)
+        self.withdraw(exchange, CallOutcome.CANCELLED)
         self.counters.increment(f"requests.{outcome}")
         if exchange.attempt is None or exchange.record is None:
             return
@@ -653,7 +710,7 @@
         )
 
     def _expire(self, exchange: Exchange) -> None:
-        self.withdraw(exchange)
+        self.withdraw(exchange, CallOutcome.TIMEOUT)
         exchange.refuse(self._deadline_exceeded())
 
     def _give_up_silent(self, exchange: Exchange) -> None:
@@ -665,11 +722,17 @@
         )
         self.on_try_failed(exchange, call, failure)
 
-    def _drop_try(self, exchange: Exchange, call: Try, now_s: float) -> None:
+    def _drop_try(
+        self,
+        exchange: Exchange,
+        call: Try,
+        outcome: CallOutcome,
+        now_s: float,
+    ) -> None:
         """Returns the permit of a try that is not pursued."""
         call.is_active = False
         exchange.call = None
-        self._settle(exchange, call, call.result(None), now_s)
+        self._settle(exchange, call, call.result(outcome), now_s)
 
     def _settle(
         self, exchange: Exchange, call: Try, result: CallResult, now_s: float
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -87,6 +87,12 @@
         self, permit: Permit, result: CallResult, now_s: float
     ) -> list[Outbound]: ...
     def cancel(self, ticket: TicketId, now_s: float) -> list[Outbound]: ...
+    def connection_lost(
+        self, service: ServiceId, target: TargetId, now_s: float
+    ) -> list[Outbound]: ...
+    def pool_empty(
+        self, service: ServiceId, target: TargetId, now_s: float
+    ) -> list[Outbound]: ...
 
 
 class RetryPort(Protocol):
@@ -257,6 +263,18 @@
         ...
 
 
+class PoolObserver(Protocol):
+    """Told what happens to connections that no try uses."""
+
+    def on_connection_lost(self, address: str) -> None:
+        """A target closed an idle connection."""
+        ...
+
+    def on_pool_empty(self, address: str) -> None:
+        """No connection to a target is open any more."""
+        ...
+
+
 class Parts(msgspec.Struct, frozen=True):
     """The coordination parts of one node."""
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -15,7 +15,7 @@
     TicketId,
 )
 from egretrock.state.outcome import RetryReason, RunState
-from egretrock_node.protocol.http import HeaderList
+from egretrock_node.protocol.http import HeaderList, TargetCondition
 
 #: Organisation of requests on open routes, which carry no key.
 NO_ORGANISATION = OrganisationId("")
@@ -92,10 +92,13 @@
 class Permit(msgspec.Struct, frozen=True):
     """The right to send one request to one target."""
 
+    permit_id: int
+    service: ServiceId
     target: TargetId
     address: str
     instance: InstanceId | None
     expires_s: float
+    new_connection: bool
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -115,17 +118,26 @@
     deadline_s: float
 
 
+class CallOutcome(enum.Enum):
+    """What came of a permit."""
+
+    OK = "ok"
+    ERROR = "err"
+    SHED = "shed"
+    REFUSED = "ref"
+    LOST = "lost"
+    TIMEOUT = "time"
+    CANCELLED = "can"
+    UNUSED = "un"
+
+
 class CallResult(msgspec.Struct, frozen=True):
-    """How a permit was used."""
+    """How a permit ended."""
 
-    used: bool
-    latency_s: float
-    status: int | None
-    instance: InstanceId | None
-    cold: bool = False
-    draining: bool = False
-    shed: bool = False
-    failure: RetryReason | None = None
+    outcome: CallOutcome
+    latency_s: float = 0.0
+    instance: InstanceId | None = None
+    condition: TargetCondition | None = None
 
 
 class CallState(msgspec.Struct, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -111,6 +111,8 @@
         self.asked = []
         self.results = []
         self.cancelled = []
+        self.lost = []
+        self.emptied = []
 
     def request(
         self, ticket, service, organisation, excluded, deadline_s, now_s
@@ -126,7 +128,9 @@
             targets = self._fleet.published.services[service].targets
             for name, target in targets.items():
                 if name not in excluded:
-                    permit = Permit(name, target.address, None, now_s + 1)
+                    permit = Permit(
+                        1, service, name, target.address, None, now_s + 1, True
+                    )
                     assignments.append(Assignment(ticket, permit))
                     break
         self.asked = []
@@ -144,6 +148,14 @@
         self.asked = [item for item in self.asked if item[0] != ticket]
         return []
 
+    def connection_lost(self, service, target, now_s):
+        self.lost.append(target)
+        return []
+
+    def pool_empty(self, service, target, now_s):
+        self.emptied.append(target)
+        return []
+
 
 class FakeRetries:
     def may_retry(self, call, failure, now_s):
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
@@ -88,7 +88,6 @@
         self.answered_s = 0.0
         self.sent_s = 0.0
         self.is_suspect = False
-        self.is_lost = False
         self._call: TargetCall | None = None
         self._sent_whole = True
         self._is_chunked = False
@@ -322,8 +321,8 @@
 
     def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
         """Ends the try, if there is one."""
-        self.is_lost = self.is_suspect = True
         self._pool.on_lost(self)
+        self.is_suspect = True
         if self._call is not None:
             text = reason.getErrorMessage() if reason is not None else "lost"
             self._fail(f"connection lost: {text}")
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -15,6 +15,7 @@
 from egretrock_node.protocol.http import TargetProtocol
 from egretrock_node.protocol.requests import (
     OutgoingRequest,
+    PoolObserver,
     TryFailure,
     TryListener,
 )
@@ -211,7 +212,7 @@
         settings: Bounds.
 
     Attributes:
-        open_count: Open connections, idle and busy.
+        observer: Told of lost connections; set once the pipeline exists.
     """
 
     def __init__(
@@ -230,6 +231,7 @@
         self._idle: dict[str, list[TargetConnection]] = {}
         self._open: dict[str, set[TargetConnection]] = {}
         self._is_closed = False
+        self.observer: PoolObserver | None = None
 
     @property
     def open_count(self) -> int:
@@ -293,7 +295,6 @@
         for connections in list(self._idle.values()):
             for connection in list(connections):
                 connection.close()
-        self._idle.clear()
 
     # What connections and tries need.
 
@@ -307,9 +308,13 @@
             if self.now() - connection.answered_s > limit_s:
                 return None
             connections.pop()
-            if not connection.is_suspect and connection.is_quiet():
+            if connection.is_suspect:
+                continue  # It is being closed.
+            if connection.is_quiet():
                 return connection
             connection.close()
+            if self.observer is not None:
+                self.observer.on_connection_lost(address)
         return None
 
     def connect(
@@ -347,17 +352,27 @@
 
     def on_lost(self, connection: TargetConnection) -> None:
         """A connection is gone."""
-        of_target = self._open.get(connection.address)
-        if of_target is not None:
-            of_target.discard(connection)
-            if not of_target:
-                del self._open[connection.address]
-        connections = self._idle.get(connection.address)
+        address = connection.address
+        was_idle = False
+        connections = self._idle.get(address)
         if connections is not None:
-            if connection in connections:
+            was_idle = connection in connections
+            if was_idle:
                 connections.remove(connection)
             if not connections:
-                del self._idle[connection.address]
+                del self._idle[address]
+        of_target = self._open.get(address)
+        if of_target is None or connection not in of_target:
+            return
+        of_target.remove(connection)
+        if not of_target:
+            del self._open[address]
+        if self.observer is None:
+            return
+        if was_idle and not connection.is_suspect:
+            self.observer.on_connection_lost(address)
+        if not of_target:
+            self.observer.on_pool_empty(address)
 
     def on_silent(
         self, connection: TargetConnection, request_id: bytes
