--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/status/__init__.py
@@ -0,0 +1,19 @@
+"""What a node tells operators about itself and its fleet."""
+
+from egretrock_node.protocol.status._status import (
+    DocumentStatus,
+    NodeStatus,
+    OrganisationStatus,
+    PeerStatus,
+    StatusSource,
+    TargetStatus,
+)
+
+__all__ = [
+    "DocumentStatus",
+    "NodeStatus",
+    "OrganisationStatus",
+    "PeerStatus",
+    "StatusSource",
+    "TargetStatus",
+]
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/operator/_endpoint.py
@@ -0,0 +1,146 @@
+"""HTTP endpoint for operators, on an address of its own."""
+
+from types import TracebackType
+from typing import Any
+
+import msgspec
+from twisted.internet import defer, interfaces
+from twisted.web import resource, server
+
+from egretrock_node.protocol.status import StatusSource
+
+_JSON = b"application/json"
+_TEXT = b"text/plain; charset=utf-8"
+
+
+class _Page(resource.Resource):
+    """Base of the pages; each answers one method."""
+
+    isLeaf = True  # noqa: N815 - the name twisted.web reads
+
+    def __init__(self, source: StatusSource) -> None:
+        super().__init__()
+        self._source = source
+
+
+def _answer(
+    request: server.Request, status: int, kind: bytes, body: bytes
+) -> bytes:
+    request.setResponseCode(status)
+    request.setHeader(b"content-type", kind)
+    request.setHeader(b"cache-control", b"no-store")
+    return body
+
+
+class _HealthPage(_Page):
+    """200 as long as the process serves its reactor."""
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        return _answer(request, 200, _TEXT, b"ok\n")
+
+
+class _ReadyPage(_Page):
+    """200 while the node takes new requests, else 503 with the reasons."""
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        reasons = self._source.not_ready_reasons()
+        if reasons:
+            text = "".join(f"{reason}\n" for reason in reasons)
+            return _answer(request, 503, _TEXT, text.encode())
+        return _answer(request, 200, _TEXT, b"ready\n")
+
+
+class _StatusPage(_Page):
+    """The status as JSON."""
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        body = msgspec.json.encode(self._source.status())
+        return _answer(request, 200, _JSON, body)
+
+
+class _ConfigPage(_Page):
+    """The configuration in force as JSON."""
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        body = self._source.effective_config()
+        if body is None:
+            text = b"no configuration has been accepted yet\n"
+            return _answer(request, 503, _TEXT, text)
+        return _answer(request, 200, _JSON, body)
+
+
+class _DrainPage(_Page):
+    """Starts a planned stop."""
+
+    def render_POST(self, request: server.Request) -> bytes:  # noqa: N802
+        self._source.start_drain()
+        return _answer(request, 202, _JSON, b'{"draining": true}\n')
+
+
+class OperatorEndpoint:
+    """Listens on the operator address; closing it stops listening.
+
+    Args:
+        reactor: Twisted reactor.
+        address: ``"ip:port"``.
+        source: The node.
+    """
+
+    def __init__(
+        self, reactor: Any, address: str, source: StatusSource
+    ) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._site = server.Site(_root(source))
+        # One line a request on the operator address would only repeat polls.
+        self._site.noisy = False
+        self._site.log = lambda request: None
+        self._port: interfaces.IListeningPort | None = None
+
+    def start(self) -> None:
+        """Starts to listen.
+
+        Raises:
+            twisted.internet.error.CannotListenError: If the address is taken.
+        """
+        host, _, port = self._address.rpartition(":")
+        self._port = self._reactor.listenTCP(
+            int(port), self._site, interface=host.strip("[]")
+        )
+
+    def port_number(self) -> int:
+        """Returns the port; it differs from the address where that has 0."""
+        if self._port is None:
+            raise RuntimeError("the operator endpoint is not listening")
+        return self._port.getHost().port
+
+    def close(self) -> defer.Deferred[Any]:
+        """Stops listening."""
+        port, self._port = self._port, None
+        if port is None:
+            return defer.succeed(None)
+        return defer.maybeDeferred(port.stopListening)
+
+    def __enter__(self) -> "OperatorEndpoint":
+        """Starts to listen."""
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops listening."""
+        self.close()
+
+
+def _root(source: StatusSource) -> resource.Resource:
+    root = resource.Resource()
+    root.putChild(b"healthz", _HealthPage(source))
+    root.putChild(b"readyz", _ReadyPage(source))
+    root.putChild(b"status", _StatusPage(source))
+    root.putChild(b"config", _ConfigPage(source))
+    root.putChild(b"drain", _DrainPage(source))
+    return root
