Add the fleet part: freshness, membership and partition leases

Cause: sections 5 and 6 of the design need a part that confirms revisions, counts majorities and leases partitions, without I/O.

Change: egretrock.coordination.fleet with the public interface of section 2.

--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/__init__.py
@@ -0,0 +1,44 @@
+"""Heartbeats between nodes, freshness and partition leases.
+
+``Fleet`` is the part; sections 5 and 6 of ``docs/design.md`` give its rules.
+"""
+
+from egretrock.coordination.fleet._documents import (
+    Document,
+    DocumentName,
+    DocumentSource,
+    Offer,
+)
+from egretrock.coordination.fleet._fleet import Fleet
+from egretrock.coordination.fleet._growth import OrganisationLimits
+from egretrock.coordination.fleet._messages import (
+    Heartbeat,
+    NodeFlag,
+    Release,
+    format_partitions,
+    parse_partitions,
+)
+from egretrock.coordination.fleet._settings import FleetSettings
+from egretrock.coordination.fleet._status import (
+    DocumentStatus,
+    FleetStatus,
+    PeerStatus,
+)
+
+__all__ = [
+    "Document",
+    "DocumentName",
+    "DocumentSource",
+    "DocumentStatus",
+    "Fleet",
+    "FleetSettings",
+    "FleetStatus",
+    "Heartbeat",
+    "NodeFlag",
+    "Offer",
+    "OrganisationLimits",
+    "PeerStatus",
+    "Release",
+    "format_partitions",
+    "parse_partitions",
+]
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_bootstrap.py
@@ -0,0 +1,129 @@
+"""Start of a process: it catches up before it counts."""
+
+import msgspec
+
+from egretrock.coordination.fleet._documents import DocumentName
+from egretrock.coordination.fleet._messages import NodeFlag
+from egretrock.coordination.fleet._peers import PeerState
+from egretrock.coordination.fleet._settings import FleetSettings
+from egretrock.state.ids import Revision
+from egretrock.state.membership import VmList, majority_size
+
+
+class Knowledge(msgspec.Struct, frozen=True):
+    """What a starting process knows.
+
+    Attributes:
+        vm_list: VM list in force.
+        vms_accepted_s: When it was accepted.
+        vms_in_force: Its revision.
+        seen: Highest revision known of each document.
+        confirmed_s: Time of the older of the two latest confirmations.
+    """
+
+    vm_list: VmList
+    vms_accepted_s: float
+    vms_in_force: Revision
+    seen: dict[DocumentName, Revision]
+    confirmed_s: float
+
+
+class Bootstrap:
+    """Decides when a new process has caught up with the fleet.
+
+    A revision that a majority accepted must not be lost when one of that
+    majority restarts. So the new process needs answers from so many
+    *other* established processes that each majority contains one of them:
+    ``count - majority_size(count) + 1``. To count itself would be wrong: of
+    three nodes, it and one that missed the revision would be a majority.
+
+    Where a majority of the listed processes are new, nothing remembers more
+    than they do, and their highest revision is enough.
+
+    Args:
+        settings: Times.
+        start_s: Start of the process.
+    """
+
+    def __init__(self, settings: FleetSettings, start_s: float) -> None:
+        self._settings = settings
+        self._start_s = start_s
+        self.established_s: float | None = None
+        self.exclusive_from_s = float("inf")
+
+    @property
+    def is_established(self) -> bool:
+        """Whether the process has caught up."""
+        return self.established_s is not None
+
+    def can_vote(self, now_s: float) -> bool:
+        """Whether all promises of the predecessor process have ended."""
+        waited = now_s >= self._start_s + self._settings.promise_s
+        return self.is_established and waited
+
+    def is_handed_over(self, now_s: float) -> bool:
+        """Whether all leases and grants of the predecessor have ended."""
+        return now_s >= self._start_s + self._settings.handover_s
+
+    def evaluate(
+        self, known: Knowledge, peers: list[PeerState], now_s: float
+    ) -> bool:
+        """Establishes the process if it has caught up.
+
+        Args:
+            known: What it knows.
+            peers: Listed peers that were heard.
+            now_s: Current time.
+
+        Returns:
+            Whether the process is established by this call.
+        """
+        node, settings = self._settings.node, self._settings
+        if self.is_established or node not in known.vm_list.vms:
+            return False
+        if now_s > known.confirmed_s + settings.freshness_s:
+            return False
+        if any(_knows_more(peer, known) for peer in peers):
+            return False
+        answered = [p for p in peers if p.answered_s is not None]
+        settled_s = self._caught_up(known, answered, now_s)
+        if settled_s is None:
+            return False
+        self.established_s = now_s
+        self.exclusive_from_s = settled_s
+        return True
+
+    def _caught_up(
+        self, known: Knowledge, answered: list[PeerState], now_s: float
+    ) -> float | None:
+        """Returns from when shares and partitions may be used, or None.
+
+        Nodes that know only an earlier VM list may go on for ``growth_s``,
+        unless an established process says that the change is over.
+        """
+        count = len(known.vm_list.vms)
+        growth_s = self._settings.growth_s
+        established = [
+            peer
+            for peer in answered
+            if peer.has(NodeFlag.ESTABLISHED)
+            and peer.vms_in_force == known.vms_in_force
+        ]
+        if len(established) >= count - majority_size(count) + 1:
+            if any(peer.has(NodeFlag.SETTLED) for peer in established):
+                return now_s
+            return now_s + growth_s
+        new_count = 1 + sum(
+            not peer.has(NodeFlag.ESTABLISHED) for peer in answered
+        )
+        # The wait leaves established processes time to answer.
+        if self.is_handed_over(now_s) and new_count >= majority_size(count):
+            return known.vms_accepted_s + growth_s
+        return None
+
+
+def _knows_more(peer: PeerState, known: Knowledge) -> bool:
+    return (
+        peer.config_seen > known.seen[DocumentName.CONFIG]
+        or peer.vms_seen > known.seen[DocumentName.VMS]
+    )
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -0,0 +1,588 @@
+"""The fleet part: freshness, membership and exclusive homes."""
+
+import functools
+import random
+
+from egretrock.coordination.base import (
+    Counters,
+    Message,
+    NullCounters,
+    Outbound,
+    Peer,
+    rendezvous_first,
+)
+from egretrock.coordination.fleet._bootstrap import Bootstrap, Knowledge
+from egretrock.coordination.fleet._documents import (
+    Document,
+    DocumentName,
+    DocumentSource,
+    DocumentStore,
+    Offer,
+)
+from egretrock.coordination.fleet._freshness import Freshness
+from egretrock.coordination.fleet._growth import (
+    LimitHistory,
+    OrganisationLimits,
+)
+from egretrock.coordination.fleet._lists import NEVER_S, ListHistory
+from egretrock.coordination.fleet._messages import (
+    Heartbeat,
+    NodeFlag,
+    Release,
+    format_partitions,
+    parse_partitions,
+)
+from egretrock.coordination.fleet._partitions import (
+    ALL_PARTITIONS,
+    PartitionHolder,
+    Placement,
+    Voter,
+)
+from egretrock.coordination.fleet._peers import (
+    PeerState,
+    PeerTable,
+    QuestionLog,
+)
+from egretrock.coordination.fleet._settings import FleetSettings
+from egretrock.coordination.fleet._status import (
+    FleetStatus,
+    document_status,
+    peer_status,
+)
+from egretrock.state.config import (
+    Finding,
+    PublishedConfig,
+    check_config,
+    check_vm_list,
+)
+from egretrock.state.ids import Incarnation, NodeId, OrganisationId, Revision
+from egretrock.state.membership import VmList
+
+#: Heartbeats are spread by this share, so that nodes do not fall into step.
+_JITTER = 0.1
+
+
+class Fleet:
+    """One node's view of the fleet; it does no I/O.
+
+    Every method takes the current time, and every answer holds at that time
+    only: a process that was stopped asks again before it acts.
+
+    Args:
+        settings: Times and the node's own id.
+        incarnation: Random number of this process.
+        rng: Source of jitter and question ids.
+        now_s: Start of the process.
+        counters: Where events are counted.
+
+    Example:
+        >>> settings = FleetSettings(NodeId("127.0.0.1:7000"))
+        >>> fleet = Fleet(settings, Incarnation(1), random.Random(1), 0.0)
+        >>> fleet.is_fresh(0.0), fleet.holds(3, 0.0)
+        (False, False)
+    """
+
+    #: Types of the inner parts; a test replaces one to switch off a rule.
+    lists_type = ListHistory
+    freshness_type = Freshness
+    bootstrap_type = Bootstrap
+    voter_type = Voter
+    holder_type = PartitionHolder
+    store_type = DocumentStore
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        incarnation: Incarnation,
+        rng: random.Random,
+        now_s: float,
+        counters: Counters | None = None,
+    ) -> None:
+        self.settings = settings
+        self.peer = Peer(settings.node, incarnation)
+        self._rng = rng
+        self._counters = counters or NullCounters()
+        self._config: DocumentStore[PublishedConfig] = self.store_type(
+            DocumentName.CONFIG, check_config
+        )
+        self._vms: DocumentStore[VmList] = self.store_type(
+            DocumentName.VMS, check_vm_list
+        )
+        self._stores = {s.name: s for s in (self._config, self._vms)}
+        self._lists = self.lists_type(settings.node, settings.growth_s)
+        self._freshness = self.freshness_type(settings.node, self._lists)
+        self._bootstrap = self.bootstrap_type(settings, now_s)
+        self._limits = LimitHistory(settings.growth_s)
+        self._peers = PeerTable()
+        keep_s = max(settings.freshness_s, settings.vote_s)
+        self._questions = QuestionLog(rng, keep_s)
+        self._placement = Placement()
+        self._voter = self.voter_type(settings.promise_s)
+        self._holder = self.holder_type(self._lists, settings.vote_s)
+        self._is_released = False
+        self._fresh_until_s = NEVER_S
+        self._next_heartbeat_s = now_s + settings.heartbeat_s * rng.random()
+
+    # Documents.
+
+    def on_document(
+        self,
+        document: DocumentName,
+        revision: Revision,
+        value: bytes | None,
+        sent_s: float,
+        now_s: float,
+        source: DocumentSource = DocumentSource.PLATFORM,
+    ) -> list[Outbound]:
+        """Takes a read of a document.
+
+        Args:
+            document: Which document.
+            revision: Revision that was read.
+            value: Its bytes, or None where the platform said "unchanged".
+            sent_s: When the read was sent. A read from the platform confirms
+                at this time; a read from a peer does not confirm.
+            now_s: Current time.
+            source: Where it was read.
+
+        Returns:
+            Heartbeats that announce a new revision at once.
+        """
+        store = self._stores[document]
+        offer = store.offer(revision, value, now_s)
+        self._counters.increment(f"fleet.{document.value}.{offer.value}")
+        if offer is Offer.ACCEPTED:
+            self._adopt(document, now_s)
+        if source is DocumentSource.PLATFORM:
+            self._confirm_by_platform(document, offer, sent_s)
+        self._reconsider(now_s)
+        if offer in (Offer.ACCEPTED, Offer.REFUSED):
+            return self._heartbeats(now_s)
+        return []
+
+    def document(self, document: DocumentName) -> Document | None:
+        """Returns the latest revision for peers, accepted or refused."""
+        return self._stores[document].latest
+
+    def seen_revision(self, document: DocumentName) -> Revision:
+        """Returns the revision after which a watch asks; 0 without one."""
+        return self._stores[document].seen
+
+    def findings(self, document: DocumentName) -> list[Finding]:
+        """Returns the faults of the latest revision, if it was refused."""
+        return list(self._stores[document].findings)
+
+    def wanted_document(self) -> tuple[NodeId, DocumentName] | None:
+        """Returns a document to fetch, and a peer that has it.
+
+        The peer is drawn at random among those with the highest revision, so
+        a peer that does not answer is not asked again and again.
+        """
+        for name in (DocumentName.VMS, DocumentName.CONFIG):
+            peers = self._known_peers()
+            highest = max((_seen(p, name) for p in peers), default=0)
+            if highest > self._stores[name].seen:
+                holders = [p for p in peers if _seen(p, name) == highest]
+                return self._rng.choice(holders).peer.node, name
+        return None
+
+    def config(self) -> PublishedConfig | None:
+        """Returns the configuration in force."""
+        return self._config.value
+
+    def vms(self) -> VmList | None:
+        """Returns the VM list in force."""
+        return self._vms.value
+
+    # Freshness and limits.
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Returns whether requests may be admitted, dispatched and charged."""
+        return now_s <= self._fresh_until_s
+
+    def is_ready(self, now_s: float) -> bool:
+        """Returns whether the platform's balancer may send requests."""
+        return (
+            self.is_fresh(now_s)
+            and self._bootstrap.is_handed_over(now_s)
+            and self.usable_share(now_s) > 0
+            and not self._is_released
+        )
+
+    def usable_share(self, now_s: float) -> float:
+        """Returns the fraction of every rate that this node owns now.
+
+        During a VM list change it is the smallest share of all lists that
+        still count, and 0 where one of them does not name this node.
+        """
+        if now_s < self._bootstrap.exclusive_from_s:
+            return 0.0
+        return self._lists.smallest_share(self.settings.node)
+
+    def usable_limits(
+        self, organisation: OrganisationId, now_s: float
+    ) -> OrganisationLimits | None:
+        """Returns the limits of an organisation, or None if it has none."""
+        return self._limits.usable(organisation, now_s)
+
+    def alive_nodes(self, now_s: float) -> frozenset[NodeId]:
+        """Returns the listed nodes heard recently, with this node."""
+        listed = self._current_nodes()
+        alive = self._peers.alive(listed, now_s, self.settings.alive_s)
+        nodes = {state.peer.node for state in alive}
+        if self.settings.node in listed:
+            nodes.add(self.settings.node)
+        return frozenset(nodes)
+
+    # Homes.
+
+    def preferred_home(
+        self, kind: str, name: str, now_s: float
+    ) -> NodeId | None:
+        """Returns the home by hashing; two nodes may disagree on it."""
+        candidates = self._candidates(now_s)
+        return rendezvous_first(f"{kind}\0{name}", candidates)
+
+    def partition_holder(self, partition: int, now_s: float) -> NodeId | None:
+        """Returns the likely holder of a partition, or None."""
+        self._placement.update(self._candidates(now_s), now_s)
+        return self._chosen(partition, self._claims(now_s), now_s)
+
+    def holds(self, partition: int, now_s: float) -> bool:
+        """Returns whether this process is the only holder at ``now_s``."""
+        return self._holder.holds(partition, now_s)
+
+    def held_since_s(self, partition: int) -> float | None:
+        """Returns when the latest unbroken holding of a partition began.
+
+        A different value than before means that the partition was lost in
+        between, also where ``holds`` was never seen to be false.
+        """
+        return self._holder.since_s(partition)
+
+    def partitions_to_move(self, now_s: float) -> dict[int, NodeId]:
+        """Returns held partitions that another node should hold.
+
+        Votes stay with a holder, because a partition that moves without a
+        hand-over loses its state. The caller hands the state over and then
+        calls ``release`` with these partitions. Without such calls they
+        stay, which costs balance only.
+        """
+        self._placement.update(self._candidates(now_s), now_s)
+        changed_s = self._placement.unchanged_since_s
+        if now_s < changed_s + self.settings.rebalance_s:
+            return {}
+        homes = {
+            partition: self._placement.preferred(partition)
+            for partition in self._holder.held(now_s)
+        }
+        own = self.settings.node
+        return {p: home for p, home in homes.items() if home not in (own, None)}
+
+    def release(
+        self, now_s: float, partitions: frozenset[int] | None = None
+    ) -> list[Outbound]:
+        """Gives up partitions, so that others may hold them at once.
+
+        Args:
+            now_s: Current time. The caller has stopped using the partitions.
+            partitions: Which; None for a planned stop, after which this
+                process holds no partition and is no home any more.
+        """
+        if partitions is None:
+            self._is_released = True
+            partitions = ALL_PARTITIONS
+        self._holder.release(partitions, now_s)
+        latest = self._questions.latest
+        self._voter.free(self.peer, latest, partitions)
+        body = Release(latest, format_partitions(partitions))
+        messages = [Outbound(node, body) for node in self._destinations()]
+        return messages + self._heartbeats(now_s)
+
+    # Time and messages.
+
+    def on_tick(self, now_s: float) -> list[Outbound]:
+        """Sends heartbeats when they are due."""
+        if self._lists.expire(now_s):
+            self._lists_changed(now_s)
+        if now_s < self._next_heartbeat_s:
+            return []
+        self._reconsider(now_s)
+        self._counters.gauge("fleet.fresh", float(self.is_fresh(now_s)))
+        held = len(self._holder.held(now_s))
+        self._counters.gauge("fleet.partitions_held", held)
+        self._counters.gauge("fleet.alive", len(self.alive_nodes(now_s)))
+        self._counters.gauge("fleet.settled", float(self._lists.is_settled))
+        return self._heartbeats(now_s)
+
+    def on_message(
+        self, sender: Peer, body: Message, now_s: float
+    ) -> list[Outbound]:
+        """Takes a message of this part from a peer."""
+        if sender.node == self.settings.node:
+            self._counters.increment("fleet.messages.own")
+            return []
+        # Without a VM list any node may say where to fetch one.
+        if self._vms.value is not None and (
+            sender.node not in self._lists.nodes()
+        ):
+            self._counters.increment("fleet.messages.unlisted")
+            return []
+        state = self._peers.accept(sender, now_s)
+        if state is None:
+            self._counters.increment("fleet.messages.ended_process")
+            return []
+        self._take(body, state, now_s)
+        return []
+
+    @functools.singledispatchmethod
+    def _take(self, body: Message, state: PeerState, now_s: float) -> None:
+        del body, state, now_s
+        self._counters.increment("fleet.messages.unknown")
+
+    @_take.register
+    def _take_heartbeat(
+        self, body: Heartbeat, state: PeerState, now_s: float
+    ) -> None:
+        state.update(body, now_s)
+        if state.has(NodeFlag.ESTABLISHED):
+            node = state.peer.node
+            self._lists.report(node, state.vms_in_force, now_s)
+        if state.has(NodeFlag.RELEASED):
+            self._voter.free(state.peer, state.question, ALL_PARTITIONS)
+        sent_s = self._questions.sent_s(body.answered)
+        if sent_s is not None:
+            self._take_answer(body, state, sent_s, now_s)
+        self._reconsider(now_s)
+
+    @_take.register
+    def _take_release(
+        self, body: Release, state: PeerState, now_s: float
+    ) -> None:
+        del now_s
+        partitions = parse_partitions(body.partitions)
+        self._voter.free(state.peer, body.last_question, partitions)
+        if body.last_question >= state.question:
+            state.question = body.last_question
+            state.held -= partitions
+
+    def status(self, now_s: float) -> FleetStatus:
+        """Returns what an operator sees."""
+        return FleetStatus(
+            established=self._bootstrap.is_established,
+            fresh=self.is_fresh(now_s),
+            ready=self.is_ready(now_s),
+            settled=self._lists.is_settled,
+            usable_share=self.usable_share(now_s),
+            documents=[
+                document_status(
+                    store, self._freshness.confirmed_s(store.name), now_s
+                )
+                for store in self._stores.values()
+            ],
+            peers=[peer_status(state, now_s) for state in self._peers.all()],
+            held_partitions=sorted(self._holder.held(now_s)),
+        )
+
+    # Inner steps.
+
+    def _adopt(self, document: DocumentName, now_s: float) -> None:
+        if document is DocumentName.CONFIG and self._config.value is not None:
+            self._limits.adopt(self._config.value, now_s)
+        if document is DocumentName.VMS and self._vms.value is not None:
+            self._lists.adopt(
+                self._vms.value,
+                self._vms.revision,
+                self._bootstrap.is_established,
+                now_s,
+            )
+            self._lists_changed(now_s)
+
+    def _lists_changed(self, now_s: float) -> None:
+        nodes = self._lists.nodes()
+        self._peers.keep(nodes)
+        self._freshness.keep(nodes)
+        self._holder.recount(now_s)
+        self._reconsider(now_s)
+
+    def _confirm_by_platform(
+        self, document: DocumentName, offer: Offer, sent_s: float
+    ) -> None:
+        if offer not in (Offer.ACCEPTED, Offer.REFUSED, Offer.UNCHANGED):
+            return
+        # A replica that shows less than a peer has is stale.
+        reported = max(
+            (_seen(peer, document) for peer in self._known_peers()), default=0
+        )
+        if reported > self._stores[document].seen:
+            self._counters.increment(f"fleet.{document.value}.behind_peer")
+            return
+        self._freshness.confirm_by_platform(document, sent_s)
+
+    def _take_answer(
+        self, body: Heartbeat, state: PeerState, sent_s: float, now_s: float
+    ) -> None:
+        if state.answered_s is None or state.answered_s < sent_s:
+            state.answered_s = sent_s
+        seen = {name: store.seen for name, store in self._stores.items()}
+        node = state.peer.node
+        self._freshness.confirm_by_peer(node, body, seen, sent_s)
+        # A voter with a later VM list may have stopped counting a list
+        # under which this node still would count its vote.
+        if body.vms_in_force <= self._vms.revision and (
+            self._is_candidate(now_s)
+        ):
+            votes = parse_partitions(body.votes)
+            self._holder.add_votes(node, votes, sent_s, now_s)
+
+    def _reconsider(self, now_s: float) -> None:
+        """Derives what changes with each event: bootstrap and freshness."""
+        vm_list, accepted_s = self._vms.value, self._vms.accepted_s
+        if self._config.value is None or vm_list is None or accepted_s is None:
+            return
+        confirmed_s = min(
+            self._freshness.confirmed_s(name) for name in DocumentName
+        )
+        if not self._bootstrap.is_established:
+            known = Knowledge(
+                vm_list=vm_list,
+                vms_accepted_s=accepted_s,
+                vms_in_force=self._vms.revision,
+                seen={n: store.seen for n, store in self._stores.items()},
+                confirmed_s=confirmed_s,
+            )
+            if not self._bootstrap.evaluate(known, self._known_peers(), now_s):
+                return
+            self._counters.increment("fleet.established")
+        self._fresh_until_s = confirmed_s + self.settings.freshness_s
+
+    def _current_nodes(self) -> frozenset[NodeId]:
+        value = self._vms.value
+        return frozenset() if value is None else value.nodes
+
+    def _known_peers(self) -> list[PeerState]:
+        if self._vms.value is None:
+            return self._peers.all()
+        return self._peers.listed(self._lists.nodes())
+
+    def _destinations(self) -> list[NodeId]:
+        return sorted(self._lists.nodes() - {self.settings.node})
+
+    def _is_candidate(self, now_s: float) -> bool:
+        value = self._vms.value
+        return (
+            value is not None
+            and self.settings.node in value.live_nodes
+            and not self._is_released
+            and now_s >= self._bootstrap.exclusive_from_s
+        )
+
+    def _candidates(self, now_s: float) -> frozenset[NodeId]:
+        value = self._vms.value
+        if value is None:
+            return frozenset()
+        alive = self._peers.alive(
+            value.live_nodes, now_s, self.settings.alive_s
+        )
+        nodes = {s.peer.node for s in alive if s.has(NodeFlag.CANDIDATE)}
+        if self._is_candidate(now_s):
+            nodes.add(self.settings.node)
+        return frozenset(nodes)
+
+    def _claims(self, now_s: float) -> dict[int, list[NodeId]]:
+        """Returns which candidates say that they hold each partition."""
+        claims: dict[int, list[NodeId]] = {}
+        for node in self._placement.candidates:
+            state = self._peers.get(node)
+            held = state.held if state else self._holder.held(now_s)
+            for partition in held:
+                claims.setdefault(partition, []).append(node)
+        return claims
+
+    def _chosen(
+        self, partition: int, claims: dict[int, list[NodeId]], now_s: float
+    ) -> NodeId | None:
+        """Returns the node that should have this node's vote.
+
+        A holder keeps its partition while it is a candidate.
+        """
+        claimants = claims.get(partition)
+        if not claimants:
+            return self._placement.preferred(partition)
+        promised = self._voter.promised_to(partition, now_s)
+        if promised in claimants:
+            return promised
+        return rendezvous_first(f"partition {partition}", claimants)
+
+    def _heartbeats(self, now_s: float) -> list[Outbound]:
+        """Returns one heartbeat to every other node of the lists."""
+        spread = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
+        self._next_heartbeat_s = now_s + self.settings.heartbeat_s * spread
+        if self._vms.value is None:
+            return []
+        question = self._questions.ask(now_s)
+        votes = self._votes(question, now_s)
+        held = format_partitions(self._holder.held(now_s))
+        flags = self._flags(now_s)
+        messages = []
+        for node in self._destinations():
+            state = self._peers.get(node)
+            vms_seen = self._vms.seen
+            body = Heartbeat(
+                question=question,
+                answered=state.question if state else 0,
+                config_seen=self._config.seen,
+                vms_in_force=self._vms.revision,
+                vms_seen=(
+                    Revision(0) if vms_seen == self._vms.revision else vms_seen
+                ),
+                flags=flags.value,
+                held=held,
+                votes=format_partitions(votes.get(node, [])),
+            )
+            messages.append(Outbound(node, body))
+        return messages
+
+    def _flags(self, now_s: float) -> NodeFlag:
+        flags = NodeFlag(0)
+        if self._bootstrap.is_established:
+            flags |= NodeFlag.ESTABLISHED
+            if self._lists.is_settled and (
+                now_s >= self._bootstrap.exclusive_from_s
+            ):
+                flags |= NodeFlag.SETTLED
+        if self._is_candidate(now_s):
+            flags |= NodeFlag.CANDIDATE
+        if self._is_released:
+            flags |= NodeFlag.RELEASED
+        return flags
+
+    def _votes(self, question: int, now_s: float) -> dict[NodeId, list[int]]:
+        """Gives this node's votes, to itself at once."""
+        self._placement.update(self._candidates(now_s), now_s)
+        if not self._bootstrap.can_vote(now_s):
+            return {}
+        claims = self._claims(now_s)
+        wanted: dict[NodeId, list[int]] = {}
+        for partition in ALL_PARTITIONS:
+            node = self._chosen(partition, claims, now_s)
+            if node is not None:
+                wanted.setdefault(node, []).append(partition)
+        votes = {}
+        for node, partitions in wanted.items():
+            if node == self.settings.node:
+                own = self._voter.vote(self.peer, question, partitions, now_s)
+                self._holder.add_votes(node, own, now_s, now_s)
+                continue
+            state = self._peers.get(node)
+            if state is not None:
+                votes[node] = self._voter.vote(
+                    state.peer, state.question, partitions, now_s
+                )
+        return votes
+
+
+def _seen(peer: PeerState, document: DocumentName) -> Revision:
+    if document is DocumentName.CONFIG:
+        return peer.config_seen
+    return peer.vms_seen
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_lists.py
@@ -0,0 +1,142 @@
+"""Majorities over the VM list in force and the lists it replaces."""
+
+import msgspec
+
+from egretrock.state.ids import NodeId, Revision
+from egretrock.state.membership import VmList, majority_size
+
+NEVER_S = float("-inf")
+
+
+class _Replaced(msgspec.Struct):
+    """A list that was in force and still counts."""
+
+    nodes: frozenset[NodeId]
+    successor: Revision
+    adopters: set[NodeId]
+    adopted_s: float | None = None
+
+
+class ListHistory:
+    """The VM list in force, and earlier lists that still count.
+
+    An earlier list counts until a majority of its nodes report a later list
+    in force and ``growth_s`` has passed since. After that, no majority of the
+    earlier list can confirm it or give valid votes under it. Time alone
+    would not do: a majority of the earlier list that is cut off from the
+    platform and from this node would go on under the earlier list.
+
+    Args:
+        node: This node.
+        growth_s: Seconds that an adopted change still counts.
+    """
+
+    def __init__(self, node: NodeId, growth_s: float) -> None:
+        self.current: VmList | None = None
+        self.revision = Revision(0)
+        self._node = node
+        self._growth_s = growth_s
+        self._replaced: list[_Replaced] = []
+        self._reported: dict[NodeId, Revision] = {}
+
+    def adopt(
+        self,
+        vm_list: VmList,
+        revision: Revision,
+        keep_replaced: bool,
+        now_s: float,
+    ) -> None:
+        """Puts a list in force.
+
+        Args:
+            vm_list: The new list.
+            revision: Its revision.
+            keep_replaced: Whether the list in force until now still counts.
+                A process that has not caught up has used no list yet.
+            now_s: Current time.
+        """
+        if self.current is not None and keep_replaced:
+            nodes = self.current.nodes
+            self._replaced.append(_Replaced(nodes, revision, set()))
+        self.current = vm_list
+        self.revision = revision
+        self.report(self._node, revision, now_s)
+        for node, reported in list(self._reported.items()):
+            self.report(node, reported, now_s)
+
+    def report(self, node: NodeId, revision: Revision, now_s: float) -> None:
+        """Notes the revision that a node has in force."""
+        self._reported[node] = max(revision, self._reported.get(node, revision))
+        for replaced in self._replaced:
+            if revision < replaced.successor or node not in replaced.nodes:
+                continue
+            replaced.adopters.add(node)
+            enough = majority_size(len(replaced.nodes))
+            if replaced.adopted_s is None and len(replaced.adopters) >= enough:
+                replaced.adopted_s = now_s
+
+    def expire(self, now_s: float) -> bool:
+        """Drops earlier lists that no longer count; returns whether any."""
+        count = len(self._replaced)
+        self._replaced = [
+            replaced
+            for replaced in self._replaced
+            if replaced.adopted_s is None
+            or now_s < replaced.adopted_s + self._growth_s
+        ]
+        if len(self._replaced) == count:
+            return False
+        listed = self.nodes()
+        self._reported = {
+            node: revision
+            for node, revision in self._reported.items()
+            if node in listed
+        }
+        return True
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether only the list in force counts."""
+        return not self._replaced
+
+    def nodes(self) -> frozenset[NodeId]:
+        """Nodes of all lists that count."""
+        return frozenset().union(*self._lists())
+
+    def smallest_share(self, node: NodeId) -> float:
+        """Returns the smallest share that a list gives a node, or 0."""
+        return min(
+            (1 / len(n) if node in n else 0.0 for n in self._lists()),
+            default=0.0,
+        )
+
+    def majority_time_s(self, times_s: dict[NodeId, float]) -> float:
+        """Returns the latest time that a majority of each list reaches.
+
+        Args:
+            times_s: A time of each node; nodes without one never reach it.
+
+        Example:
+            >>> from egretrock.state.membership import Vm
+            >>> history = ListHistory(NodeId("a"), 6.0)
+            >>> three = VmList({NodeId(n): Vm("d") for n in "abc"})
+            >>> history.adopt(three, Revision(1), False, 0.0)
+            >>> history.majority_time_s({"a": 9.0, "b": 4.0, "c": 2.0})
+            4.0
+        """
+        lists = self._lists()
+        if not lists:
+            return NEVER_S
+        return min(_majority_time_s(nodes, times_s) for nodes in lists)
+
+    def _lists(self) -> list[frozenset[NodeId]]:
+        if self.current is None:
+            return []
+        return [self.current.nodes, *(r.nodes for r in self._replaced)]
+
+
+def _majority_time_s(
+    nodes: frozenset[NodeId], times_s: dict[NodeId, float]
+) -> float:
+    times = sorted((times_s.get(n, NEVER_S) for n in nodes), reverse=True)
+    return times[majority_size(len(nodes)) - 1]
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_partitions.py
@@ -0,0 +1,179 @@
+"""Partition leases: placement, votes given and votes received."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from egretrock.coordination.base import (
+    PARTITION_COUNT,
+    Peer,
+    rendezvous_first,
+)
+from egretrock.coordination.fleet._lists import NEVER_S, ListHistory
+from egretrock.state.ids import NodeId
+
+ALL_PARTITIONS = frozenset(range(PARTITION_COUNT))
+
+
+class Placement:
+    """Preferred home of each partition among a set of candidates."""
+
+    def __init__(self) -> None:
+        self.candidates: frozenset[NodeId] = frozenset()
+        self.unchanged_since_s = NEVER_S
+        self._preferred: list[NodeId | None] = [None] * PARTITION_COUNT
+
+    def update(self, candidates: frozenset[NodeId], now_s: float) -> None:
+        """Sets the candidates; hashes only if they changed."""
+        if candidates == self.candidates:
+            return
+        self.candidates = candidates
+        self.unchanged_since_s = now_s
+        self._preferred = [
+            rendezvous_first(f"partition {partition}", candidates)
+            for partition in range(PARTITION_COUNT)
+        ]
+
+    def preferred(self, partition: int) -> NodeId | None:
+        """Returns the preferred home, or None without a candidate."""
+        return self._preferred[partition]
+
+
+class _Promise(msgspec.Struct, frozen=True):
+    """A vote given.
+
+    Attributes:
+        to: The process that may count it; a successor may not.
+        question: The question that the vote answers.
+        until_s: Until when no other process gets a vote.
+    """
+
+    to: Peer
+    question: int
+    until_s: float
+
+
+class Voter:
+    """Votes given: at most one process has a partition's vote at a time.
+
+    Args:
+        promise_s: Seconds from the send for which a vote is kept.
+    """
+
+    def __init__(self, promise_s: float) -> None:
+        self._promise_s = promise_s
+        self._promises: dict[int, _Promise] = {}
+
+    def vote(
+        self, to: Peer, question: int, wanted: Iterable[int], now_s: float
+    ) -> list[int]:
+        """Gives or renews votes in a message that is sent now.
+
+        Args:
+            to: The process that asked.
+            question: Its question.
+            wanted: Partitions it should have.
+            now_s: Current time.
+
+        Returns:
+            The partitions that are free, or promised to ``to`` already.
+        """
+        until_s = now_s + self._promise_s
+        given = []
+        for partition in wanted:
+            promise = self._current(partition, now_s)
+            if promise is None or promise.to == to:
+                given.append(partition)
+                new = _Promise(to, question, until_s)
+                self._promises[partition] = new
+        return given
+
+    def free(
+        self, by: Peer, last_question: int, partitions: Iterable[int]
+    ) -> None:
+        """Ends promises that ``by`` no longer uses."""
+        for partition in partitions:
+            promise = self._promises.get(partition)
+            if promise is None or promise.to != by:
+                continue
+            if promise.question <= last_question:
+                del self._promises[partition]
+
+    def promised_to(self, partition: int, now_s: float) -> NodeId | None:
+        """Returns the node that has this node's vote."""
+        promise = self._current(partition, now_s)
+        return None if promise is None else promise.to.node
+
+    def _current(self, partition: int, now_s: float) -> _Promise | None:
+        promise = self._promises.get(partition)
+        if promise is None or now_s >= promise.until_s:
+            return None
+        return promise
+
+
+class PartitionHolder:
+    """Votes received: which partitions this process holds, and until when.
+
+    Args:
+        lists: The VM lists whose majorities count.
+        vote_s: Seconds for which a vote counts, from the send of the
+            question that it answers.
+    """
+
+    def __init__(self, lists: ListHistory, vote_s: float) -> None:
+        self._lists = lists
+        self._vote_s = vote_s
+        self._votes: dict[int, dict[NodeId, float]] = {}
+        self._until_s = dict.fromkeys(ALL_PARTITIONS, NEVER_S)
+        self._since_s: dict[int, float] = {}
+        self._released_s = dict.fromkeys(ALL_PARTITIONS, NEVER_S)
+
+    def add_votes(
+        self,
+        voter: NodeId,
+        partitions: Iterable[int],
+        sent_s: float,
+        now_s: float,
+    ) -> None:
+        """Counts votes that answer a question sent at ``sent_s``."""
+        for partition in partitions:
+            if sent_s <= self._released_s[partition]:
+                continue
+            votes = self._votes.setdefault(partition, {})
+            until_s = self._expires_s(sent_s, now_s)
+            votes[voter] = max(votes.get(voter, NEVER_S), until_s)
+            self._recount(partition, now_s)
+
+    def recount(self, now_s: float) -> None:
+        """Counts all votes again after a change of the lists."""
+        for partition in self._votes:
+            self._recount(partition, now_s)
+
+    def release(self, partitions: Iterable[int], now_s: float) -> None:
+        """Gives up partitions, and votes for questions asked until now."""
+        for partition in partitions:
+            self._votes.pop(partition, None)
+            self._until_s[partition] = NEVER_S
+            self._released_s[partition] = now_s
+
+    def holds(self, partition: int, now_s: float) -> bool:
+        """Returns whether this process is the only holder now."""
+        return now_s < self._until_s[partition]
+
+    def held(self, now_s: float) -> frozenset[int]:
+        """Returns the partitions that this process holds now."""
+        return frozenset(p for p in ALL_PARTITIONS if self.holds(p, now_s))
+
+    def since_s(self, partition: int) -> float | None:
+        """Returns the start of the latest unbroken holding."""
+        return self._since_s.get(partition)
+
+    def _expires_s(self, sent_s: float, now_s: float) -> float:
+        del now_s  # A vote counts from the question, not from its receipt.
+        return sent_s + self._vote_s
+
+    def _recount(self, partition: int, now_s: float) -> None:
+        until_s = self._lists.majority_time_s(self._votes[partition])
+        if now_s < until_s and not self.holds(partition, now_s):
+            self._since_s[partition] = now_s
+        self._until_s[partition] = until_s
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_settings.py
@@ -0,0 +1,74 @@
+"""Times of the fleet part."""
+
+import msgspec
+
+from egretrock.state.ids import NodeId
+
+#: A giver waits this much longer than a receiver counts. It covers clocks
+#: whose rates differ by 1%.
+CLOCK_RATE_FACTOR = 1.01
+#: Growth waits this many times ``freshness_s``, so that nodes that have not
+#: learned of a change have lost freshness.
+GROWTH_FACTOR = 1.5
+
+
+class FleetSettings(msgspec.Struct, frozen=True):
+    """Settings of one node's view of the fleet.
+
+    Attributes:
+        node: This node.
+        freshness_s: Seconds for which a confirmation counts.
+        vote_s: Seconds for which a vote for a partition counts.
+        handover_s: Seconds after the start until everything that the
+            predecessor process leased or granted has ended.
+        heartbeat_s: Mean seconds between heartbeats to a peer.
+        alive_s: Seconds after its last heartbeat that a peer counts as
+            alive.
+        rebalance_s: Seconds for which the set of candidates must be the
+            same before a holder offers partitions to other nodes.
+
+    Example:
+        >>> FleetSettings(NodeId("127.0.0.1:7000"), vote_s=1.0)
+        Traceback (most recent call last):
+        ...
+        ValueError: vote_s is 1.0; it must be at least 3 x heartbeat_s, 3.0
+    """
+
+    node: NodeId
+    freshness_s: float = 4.0
+    vote_s: float = 3.5
+    handover_s: float = 3.0
+    heartbeat_s: float = 1.0
+    alive_s: float = 2.0
+    rebalance_s: float = 30.0
+
+    def __post_init__(self) -> None:
+        """Checks the times.
+
+        A vote is asked for, answered one heartbeat later and renewed one
+        heartbeat after that, so shorter votes would lapse in between.
+
+        Raises:
+            ValueError: If a time is too short.
+        """
+        for name in ("freshness_s", "vote_s"):
+            value, least = getattr(self, name), 3 * self.heartbeat_s
+            if value < least:
+                raise ValueError(
+                    f"{name} is {value}; it must be at least "
+                    f"3 x heartbeat_s, {least}"
+                )
+        for name in ("handover_s", "heartbeat_s", "alive_s", "rebalance_s"):
+            value = getattr(self, name)
+            if value <= 0:
+                raise ValueError(f"{name} is {value}; it must be above 0")
+
+    @property
+    def growth_s(self) -> float:
+        """Seconds after which a larger limit or share may be used."""
+        return self.freshness_s * GROWTH_FACTOR
+
+    @property
+    def promise_s(self) -> float:
+        """Seconds for which a voter keeps its vote."""
+        return self.vote_s * CLOCK_RATE_FACTOR
