Add the stand-in platform and targets

Change: a platform with monotonic revisions, long polls, stale replicas and call counts; targets with slots, a bounded queue, cold starts, cancellation, lying reports and faults of connections and bodies, which record what they ran.

--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/_client.py
@@ -0,0 +1,85 @@
+"""Blocking HTTP calls for control endpoints and single requests."""
+
+import http.client
+import json
+from typing import Any, NamedTuple
+
+CALL_TIMEOUT_S = 10.0
+
+
+class Answer(NamedTuple):
+    """One answer to a caller."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Returns the decoded body."""
+        return json.loads(self.body)
+
+
+class Connection:
+    """One connection that stays open between requests."""
+
+    def __init__(self, address: str, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self._http = http.client.HTTPConnection(address, timeout=timeout_s)
+        # http.client would open a new connection without telling.
+        self._http.auto_open = 0
+        self._http.connect()
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> Answer:
+        """Sends a request and reads the whole answer.
+
+        Raises:
+            OSError: The connection failed.
+            http.client.HTTPException: The answer was broken or cut off.
+        """
+        self._http.request(method, path, body=body, headers=headers or {})
+        response = self._http.getresponse()
+        fields = {name.lower(): v for name, v in response.getheaders()}
+        return Answer(response.status, fields, response.read())
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._http.close()
+
+    def __enter__(self) -> "Connection":
+        """Returns the open connection."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Closes the connection."""
+        self.close()
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    headers: dict[str, str] | None = None,
+    body: bytes | None = None,
+    timeout_s: float = CALL_TIMEOUT_S,
+) -> Answer:
+    """Sends one request on a connection of its own."""
+    with Connection(address, timeout_s) as connection:
+        return connection.send(method, path, headers, body)
+
+
+class ControlCallError(Exception):
+    """A control endpoint refused a call."""
+
+
+def control(address: str, method: str, path: str, value: Any = None) -> Any:
+    """Calls a control endpoint of a stand-in; returns the JSON answer."""
+    body = None if value is None else json.dumps(value).encode()
+    answer = call(address, method, path, body=body)
+    if answer.status != 200:
+        raise ControlCallError(f"{method} {path}: {answer.body.decode()}")
+    return answer.json()
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/target/__init__.py
@@ -0,0 +1,24 @@
+"""Stand-in targets: slots, a queue, cold starts and faults by option."""
+
+from egretrock_standins.target._history import History, RunRecord
+from egretrock_standins.target._options import (
+    Overload,
+    Rule,
+    ServiceTime,
+    Stop,
+    TargetOptions,
+)
+from egretrock_standins.target._server import TargetServer
+from egretrock_standins.target._target import Target
+
+__all__ = [
+    "History",
+    "Overload",
+    "Rule",
+    "RunRecord",
+    "ServiceTime",
+    "Stop",
+    "Target",
+    "TargetOptions",
+    "TargetServer",
+]
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_server.py
@@ -0,0 +1,282 @@
+"""HTTP/1.1 side of a stand-in target, with faults of connections."""
+
+import os
+from typing import Any
+
+import msgspec
+from twisted.internet import protocol, reactor
+from twisted.web import http
+
+from egretrock_standins.http import (
+    ControlError,
+    ControlResource,
+    parse_address,
+)
+from egretrock_standins.target._history import RunRecord
+from egretrock_standins.target._options import Rule, Stop, TargetOptions
+from egretrock_standins.target._target import Target
+
+CRASH_EXIT_CODE = 70
+#: Pieces into which a slow body is cut.
+SLOW_BODY_PIECES = 10
+
+
+class _Request(http.Request):
+    """One request; an ``Exchange`` of the target."""
+
+    record: RunRecord
+    rule: Rule | None = None
+    deadline_s: float | None = None
+    _closed = False
+
+    def process(self) -> None:
+        """Handles a request whose body has arrived."""
+        self.target_server: TargetServer = self.channel.factory
+        target = self.target_server.target
+        self.notifyFinish().addErrback(self._on_closed)
+        if self.method == b"GET" and self.path in (b"/health", b"/load"):
+            target.counts["probes"] += 1
+            target.add_work(target.options.probe_ms)
+            report = target.health if self.path == b"/health" else target.load
+            self._send(200, msgspec.json.encode(report()))
+        elif self.method == b"DELETE" and self.path.startswith(b"/requests/"):
+            self._cancel_other(target)
+        else:
+            self._offer(target)
+
+    def answer(self) -> None:
+        """Sends the answer of a request that ran."""
+        options = self.target_server.target.options
+        value = {
+            "target": options.target_id,
+            "instance": self.record.instance,
+            "request_id": self.record.request_id,
+            "organisation": self.record.organisation,
+            "method": self.record.method,
+            "uri": self.record.uri,
+            "nonce": self.getHeader(b"x-nonce") or "",
+            "received_bytes": self._received_bytes,
+        }
+        body = msgspec.json.encode(value)
+        size = options.body_bytes
+        if self.rule is not None and self.rule.body_bytes is not None:
+            size = self.rule.body_bytes
+        self._send(200, body.ljust(size))
+
+    def refuse(self, not_run: bool, reason: str) -> None:
+        """Sends a 503, marked if the request did not run."""
+        if not_run:
+            self.setHeader(b"Target-Not-Run", b"1")
+        self._send(503, msgspec.json.encode({"error": reason}))
+
+    def _offer(self, target: Target) -> None:
+        deadline = self.getHeader(b"egretrock-deadline-ms")
+        if deadline is not None:
+            left_s = int(deadline) / 1000
+            self.deadline_s = reactor.seconds() + left_s
+        headers: dict[str, list[str]] = {}
+        for name, values in self.requestHeaders.getAllRawHeaders():
+            text = [value.decode("latin-1") for value in values]
+            headers[name.decode("latin-1").lower()] = text
+        uri = self.uri.decode("latin-1")
+        self._received_bytes = len(self.content.read())
+        self.rule = target.options.rule(uri)
+        self.record = RunRecord(
+            target_id=target.options.target_id,
+            instance=target.instance,
+            request_id=headers.get("egretrock-request-id", [""])[0],
+            organisation=headers.get("egretrock-organisation", [""])[0],
+            method=self.method.decode("latin-1"),
+            uri=uri,
+            headers=headers,
+            start_s=0.0,
+        )
+        target.offer(self)
+
+    def _cancel_other(self, target: Target) -> None:
+        request_id = self.path.removeprefix(b"/requests/").decode()
+        other = target.find(request_id)
+        if other is None:
+            self._send(404, b'{"run_state":"unknown"}')
+            return
+        had_run = target.cancel(other, "cancelled")
+        other.refuse(not had_run, "cancelled")
+        state = b"run" if had_run else b"not_run"
+        self._send(200, b'{"run_state":"' + state + b'"}')
+
+    def _on_closed(self, _: Any) -> None:
+        self._closed = True
+        if hasattr(self, "record"):
+            self.target_server.target.cancel(self, "connection_closed")
+
+    def _send(self, status: int, body: bytes) -> None:
+        delay_s = self.target_server.target.options.one_way_delay_ms / 1000
+        if delay_s > 0:
+            reactor.callLater(delay_s, self._send_now, status, body)
+        else:
+            self._send_now(status, body)
+
+    def _send_now(self, status: int, body: bytes) -> None:
+        if self._closed or self.channel is None or self.channel.silent:
+            return
+        target = self.target_server.target
+        self.setResponseCode(status)
+        self.setHeader(b"Content-Type", b"application/json")
+        self.setHeader(b"Content-Length", str(len(body)).encode())
+        self.setHeader(b"Target-Instance", target.instance.encode())
+        self.setHeader(b"Target-State", target.reported_state.encode())
+        rule = self.rule if status == 200 else None
+        if rule is not None and rule.truncate_at_bytes is not None:
+            self.write(body[: rule.truncate_at_bytes])
+            self.channel.loseConnection()
+        elif rule is not None and rule.slow_body_s > 0:
+            self._send_slowly(body, rule.slow_body_s)
+        else:
+            self.write(body)
+            self.finish()
+
+    def _send_slowly(self, body: bytes, duration_s: float) -> None:
+        size = -(-len(body) // SLOW_BODY_PIECES)
+        pieces = [body[i : i + size] for i in range(0, len(body), size)]
+
+        def send_next() -> None:
+            if self._closed:
+                return
+            self.write(pieces.pop(0))
+            if pieces:
+                reactor.callLater(duration_s / SLOW_BODY_PIECES, send_next)
+            else:
+                self.finish()
+
+        send_next()
+
+
+class _Channel(http.HTTPChannel):
+    """A connection that can be slow to open, slow or silent."""
+
+    requestFactory = _Request  # noqa: N815 (name of twisted.web)
+    silent = False
+
+    def connectionMade(self) -> None:  # noqa: N802 (name of twisted)
+        """Starts reading after the connection setup delay."""
+        super().connectionMade()
+        options = self.factory.target.options
+        self.factory.channels.add(self)
+        self.factory.target.counts["connections"] += 1
+        self.factory.target.add_work(options.connection_ms)
+        self._read_from_s = (
+            reactor.seconds() + options.connection_delay_ms / 1000
+        )
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Handles bytes now, later or never."""
+        if self.silent:
+            return
+        delay_s = self.factory.target.options.one_way_delay_ms / 1000
+        delay_s = max(delay_s, self._read_from_s - reactor.seconds())
+        if delay_s > 0:
+            reactor.callLater(delay_s, self._handle, data)
+        else:
+            super().dataReceived(data)
+
+    def connectionLost(self, reason: Any) -> None:  # noqa: N802
+        """Forgets the connection and cancels its requests."""
+        self.factory.channels.discard(self)
+        super().connectionLost(reason)
+
+    def _handle(self, data: bytes) -> None:
+        if not self.silent and self in self.factory.channels:
+            super().dataReceived(data)
+
+
+class TargetServer(protocol.ServerFactory):
+    """Serves one target on its address, and its control calls."""
+
+    def __init__(self, options: TargetOptions) -> None:
+        self.target = Target(options, reactor, self._on_crash)
+        self.channels: set[_Channel] = set()
+        self.address = options.address
+        self._listen()
+
+    def buildProtocol(self, addr: Any) -> _Channel:  # noqa: N802
+        """Returns the server side of a new connection."""
+        channel = _Channel()
+        channel.factory = self
+        channel.callLater = reactor.callLater
+        channel.timeOut = None
+        return channel
+
+    def log(self, request: http.Request) -> None:
+        """Writes no access log; histories take its place."""
+
+    def silence(self) -> int:
+        """Makes all open connections silent; returns how many."""
+        for channel in self.channels:
+            channel.silent = True
+        return len(self.channels)
+
+    def _on_crash(self) -> None:
+        if self.target.options.stop is Stop.PROCESS:
+            os._exit(CRASH_EXIT_CODE)
+        self._port.stopListening()
+        for channel in list(self.channels):
+            channel.transport.abortConnection()
+        reactor.callLater(self.target.options.restart_s, self._restart)
+
+    def _restart(self) -> None:
+        self.target.new_instance()
+        self._listen()
+
+    def _listen(self) -> None:
+        host, port = parse_address(self.address)
+        self._port = reactor.listenTCP(port, self, 1024, interface=host)
+        # A restart listens on the same port, even if the first was free.
+        self.address = f"{host}:{self._port.getHost().port}"
+
+
+def control_resource(servers: list[TargetServer]) -> ControlResource:
+    """Returns the control endpoint of all targets of a process.
+
+    Calls: ``GET targets``, ``GET history/{id}``, ``GET stats/{id}``,
+    ``PUT options/{id}`` (fields to change), ``POST
+    action/{id}/{cold|drain|silence|crash}``.
+    """
+    by_id = {s.target.options.target_id: s for s in servers}
+
+    def change_options(rest: list[str], body: bytes) -> TargetOptions:
+        target = by_id[rest[0]].target
+        tree = msgspec.to_builtins(target.options)
+        tree |= msgspec.json.decode(body, type=dict)
+        target.options = msgspec.convert(tree, TargetOptions)
+        return target.options
+
+    def act(rest: list[str], body: bytes) -> Any:
+        name, action = rest
+        entry = by_id[name]
+        if action == "cold":
+            entry.target.new_instance()
+        elif action == "drain":
+            entry.target.draining = True
+        elif action == "silence":
+            return entry.silence()
+        elif action == "crash":
+            reactor.callLater(0, entry.target.crash)
+        else:
+            raise ControlError(
+                f"{action!r}; allowed are cold, drain, silence, crash"
+            )
+        return entry.target.instance
+
+    return ControlResource(
+        {
+            "GET targets": lambda rest, body: {
+                name: entry.address for name, entry in by_id.items()
+            },
+            "GET history": lambda rest, body: (
+                by_id[rest[0]].target.history.records
+            ),
+            "GET stats": lambda rest, body: by_id[rest[0]].target.stats(),
+            "PUT options": change_options,
+            "POST action": act,
+        }
+    )
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/target/tests/steps/target_steps.py
@@ -0,0 +1,184 @@
+import concurrent.futures
+import http.client
+import json
+import pathlib
+import tempfile
+import time
+
+from behave import given, then, when
+
+from egretrock_standins.fleet_runner import (
+    Connection,
+    ManagedProcess,
+    call,
+    control,
+)
+from egretrock_standins.target import History
+
+
+@given("a target with {options}")
+def step_target(context, options):
+    scratch = tempfile.TemporaryDirectory()
+    context.add_cleanup(scratch.cleanup)
+    folder = pathlib.Path(scratch.name)
+    context.history_file = folder / "history"
+    entry = json.loads(options) | {
+        "target_id": "t1",
+        "history_file": str(context.history_file),
+    }
+    (folder / "options.json").write_text(json.dumps([entry]))
+    context.process = ManagedProcess(
+        "target",
+        ["-m", "egretrock_standins.target", f"{folder}/options.json"],
+        folder,
+    )
+    context.add_cleanup(context.process.stop)
+    context.process.wait_ready()
+    context.address = context.process.ready["targets"]["t1"]
+    context.control = context.process.ready["control"]
+    context.instance = call(context.address, "GET", "/health").json()[
+        "instance"
+    ]
+
+
+def send(context, number):
+    headers = {"Egretrock-Request-Id": f"r{number}"}
+    return call(context.address, "GET", f"/{number}", headers)
+
+
+@when("{count:d} requests are sent at once")
+def step_send(context, count):
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        numbers = range(count)
+        answers = list(pool.map(lambda n: send(context, n), numbers))
+    context.answers = answers
+    context.request_ids = {f"r{number}" for number in numbers}
+
+
+@then("{count:d} answers have status {status:d}")
+def step_count(context, count, status):
+    got = [answer.status for answer in context.answers]
+    assert got.count(status) == count, got
+
+
+@then("{count:d} answers have status 503 and say not run")
+def step_shed(context, count):
+    shed = [a for a in context.answers if a.status == 503]
+    assert len(shed) == count, context.answers
+    assert all(a.headers["target-not-run"] == "1" for a in shed)
+
+
+@then("the target's {name} is {value:d}")
+def step_stat(context, name, value):
+    stats = control(context.control, "GET", "/stats/t1")
+    assert stats[name] == value, stats
+
+
+@then("the history holds each request once")
+def step_history(context):
+    records = control(context.control, "GET", "/history/t1")
+    ids = [record["request_id"] for record in records]
+    assert sorted(ids) == sorted(context.request_ids), ids
+
+
+@then('/health shows state "{state}"')
+def step_state(context, state):
+    health = call(context.address, "GET", "/health").json()
+    assert health["state"] == state, health
+
+
+@then('/health shows another instance and state "{state}"')
+def step_instance(context, state):
+    health = call(context.address, "GET", "/health").json()
+    assert health["instance"] != context.instance
+    assert health["state"] == state, health
+
+
+@then("/load shows in_flight {count:d}")
+def step_load(context, count):
+    load = call(context.address, "GET", "/load").json()
+    assert load["in_flight"] == count, load
+
+
+@when("the action {action} is taken")
+def step_action(context, action):
+    control(context.control, "POST", f"/action/t1/{action}")
+
+
+@when("a request to {path} breaks")
+def step_break(context, path):
+    try:
+        answer = call(context.address, "GET", path)
+    except (OSError, http.client.HTTPException):
+        return
+    raise AssertionError(answer)
+
+
+@then("the process ends with code {code:d}")
+def step_exit(context, code):
+    assert context.process.wait(5) == code
+
+
+@then("the history file shows {path} as crashed")
+def step_crash(context, path):
+    records = History.read(context.history_file)
+    assert [(r.uri, r.end) for r in records] == [(path, "crashed")], records
+
+
+@given("an open connection that was answered")
+def step_open(context):
+    context.connection = Connection(context.address, timeout_s=0.5)
+    context.add_cleanup(context.connection.close)
+    assert context.connection.send("GET", "/").status == 200
+
+
+@then("a request on the open connection gets no answer")
+def step_silent(context):
+    try:
+        answer = context.connection.send("GET", "/")
+    except TimeoutError:
+        return
+    raise AssertionError(answer)
+
+
+@then("a request on a new connection is answered")
+def step_new(context):
+    assert call(context.address, "GET", "/").status == 200
+
+
+def start_request(context):
+    raw = http.client.HTTPConnection(context.address, timeout=10)
+    raw.request("GET", "/", headers={"Egretrock-Request-Id": "r1"})
+    wait_until(context, lambda records: len(records) == 1)
+    return raw
+
+
+def wait_until(context, condition):
+    deadline_s = time.monotonic() + 5
+    while True:
+        records = control(context.control, "GET", "/history/t1")
+        if condition(records):
+            return
+        assert time.monotonic() < deadline_s, records
+        time.sleep(0.02)
+
+
+@when("a request is sent and its connection is closed")
+def step_close(context):
+    start_request(context).close()
+
+
+@when("a request is sent and cancelled by DELETE")
+def step_cancel(context):
+    raw = start_request(context)
+    answer = call(context.address, "DELETE", "/requests/r1")
+    assert answer.json() == {"run_state": "run"}, answer
+    response = raw.getresponse()
+    assert response.status == 503
+    assert response.getheader("Target-Not-Run") is None
+    raw.close()
+
+
+@then("the history shows an end of {end}")
+def step_end(context, end):
+    wait_until(context, lambda records: records[0]["end"] == end)
