Add the fleet runner and the demo

Cause: the demo, the bench and fault scenarios need platform, targets and nodes as processes that are always ended. Change: fleet_runner starts them on 127.0.0.x with free ports, writes settings to a temporary folder, publishes documents with key digests, sends signals by process id and reads histories; the demo shows two services, two organisations and four refusals or changes, each step checked.

--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small fleet on loopback addresses, shown with real requests."""
--- a/packages/egretrock-standins/src/egretrock_standins/fleet_runner/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/__init__.py
@@ -7,17 +7,32 @@
     call,
     control,
 )
+from egretrock_standins.fleet_runner._fleet import (
+    Fleet,
+    NodeProcess,
+    free_address,
+    key_digest,
+)
+from egretrock_standins.fleet_runner._plan import FleetPlan, PlannedTarget
 from egretrock_standins.fleet_runner._process import (
     ManagedProcess,
     ProcessError,
 )
+from egretrock_standins.fleet_runner._statsd import StatsdSink
 
 __all__ = [
     "Answer",
     "Connection",
     "ControlCallError",
+    "Fleet",
+    "FleetPlan",
     "ManagedProcess",
+    "NodeProcess",
+    "PlannedTarget",
     "ProcessError",
+    "StatsdSink",
     "call",
     "control",
+    "free_address",
+    "key_digest",
 ]
--- a/packages/egretrock-standins/src/egretrock_standins/target/_history.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_history.py
@@ -30,18 +30,30 @@
 
 
 class History:
-    """Keeps records in memory, and in a file if one is named."""
+    """Keeps records in memory, and in a file if one is named.
 
-    def __init__(self, file_name: str | None) -> None:
+    Args:
+        file_name: File to append to, or None.
+        keep: Whether to record at all.
+
+    Attributes:
+        run_count: Requests that started to run.
+    """
+
+    def __init__(self, file_name: str | None, keep: bool = True) -> None:
         self.records: list[RunRecord] = []
+        self.run_count = 0
+        self._keep = keep
         self._file: IO[bytes] | None = None
-        if file_name is not None:
+        if file_name is not None and keep:
             # Unbuffered, because a crash must not lose a line.
             self._file = open(file_name, "ab", buffering=0)  # noqa: SIM115
 
     def start(self, record: RunRecord) -> None:
         """Adds a request that starts to run."""
-        self.records.append(record)
+        self.run_count += 1
+        if self._keep:
+            self.records.append(record)
         self._write(record)
 
     def end(self, record: RunRecord, now_s: float, end: str) -> None:
--- a/packages/egretrock-standins/src/egretrock_standins/target/_options.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_options.py
@@ -94,6 +94,7 @@
         report_lag_s: Age of what ``/health`` and ``/load`` show.
         body_bytes: Size of an answer's body; the JSON text is padded.
         rules: Treatment of requests by path; the first match counts.
+        keep_history: Whether runs are recorded; long load runs only count.
         history_file: File that gets a JSON line when a request starts and
             one when it ends, so that a crash loses no history.
     """
@@ -119,6 +120,7 @@
     report_lag_s: float = 0.0
     body_bytes: int = 0
     rules: list[Rule] = []
+    keep_history: bool = True
     history_file: str | None = None
 
     def rule(self, path: str) -> Rule | None:
--- a/packages/egretrock-standins/src/egretrock_standins/target/_server.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_server.py
@@ -54,7 +54,7 @@
             "organisation": self.record.organisation,
             "method": self.record.method,
             "uri": self.record.uri,
-            "nonce": self.getHeader(b"x-nonce") or "",
+            "nonce": self.getHeader("x-nonce") or "",
             "received_bytes": self._received_bytes,
         }
         body = msgspec.json.encode(value)
@@ -70,7 +70,7 @@
         self._send(503, msgspec.json.encode({"error": reason}))
 
     def _offer(self, target: Target) -> None:
-        deadline = self.getHeader(b"egretrock-deadline-ms")
+        deadline = self.getHeader("egretrock-deadline-ms")
         if deadline is not None:
             left_s = int(deadline) / 1000
             self.deadline_s = reactor.seconds() + left_s
--- a/packages/egretrock-standins/src/egretrock_standins/target/_target.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_target.py
@@ -61,7 +61,7 @@
         on_crash: Callable[[], None],
     ) -> None:
         self.options = options
-        self.history = History(options.history_file)
+        self.history = History(options.history_file, options.keep_history)
         self.draining = False
         self.counts: collections.Counter[str] = collections.Counter()
         self._clock = clock
@@ -174,7 +174,7 @@
             "queued": len(self._queue),
             "max_in_flight": self.max_in_flight,
             "max_cold_concurrency": self.max_cold_concurrency,
-            "runs": len(self.history.records),
+            "runs": self.history.run_count,
             "counts": dict(self.counts),
         }
 
