Import Finding from its own subpackage in the fleet part

Cause: Finding moved to egretrock.state.findings while the fleet part was written; importing the fleet part failed.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -50,11 +50,11 @@
     peer_status,
 )
 from egretrock.state.config import (
-    Finding,
     PublishedConfig,
     check_config,
     check_vm_list,
 )
+from egretrock.state.findings import Finding
 from egretrock.state.ids import Incarnation, NodeId, OrganisationId, Revision
 from egretrock.state.membership import VmList
 
