Add permits, warm-up, probes and choice of targets

Cause: the data path needs a target for each request without a target that has just started getting more than its ramp allows over the fleet. Change: egretrock.coordination.targets with TargetHome, TargetClient and Targets (both as one part), and virtual targets and nodes in the stand-ins.

--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/__init__.py
@@ -0,0 +1,70 @@
+"""Targets: permits, warm-up, probes and the choice of a target.
+
+The home of a service knows the outstanding requests of the whole fleet at
+each target and issues permits. Nodes ask it through a ``TargetClient``.
+"""
+
+from egretrock.coordination.targets._client import (
+    Assignment,
+    CallResult,
+    Permit,
+    TargetClient,
+)
+from egretrock.coordination.targets._fleet import FleetView, usable_target
+from egretrock.coordination.targets._home import TargetHome
+from egretrock.coordination.targets._messages import (
+    PERMIT_S,
+    STANDING_S,
+    TARGET_MESSAGES,
+    Ask,
+    CallOutcome,
+    Census,
+    Grant,
+    Granted,
+    HeldPermit,
+    Inventory,
+    NotHome,
+    Report,
+    Summary,
+    SummaryEntry,
+    TargetCondition,
+    Trust,
+)
+from egretrock.coordination.targets._parts import Targets
+from egretrock.coordination.targets._probes import (
+    ProbeKind,
+    ProbeOrder,
+    ProbeResult,
+)
+from egretrock.coordination.targets._record import Health
+
+__all__ = [
+    "PERMIT_S",
+    "STANDING_S",
+    "TARGET_MESSAGES",
+    "Ask",
+    "Assignment",
+    "CallOutcome",
+    "CallResult",
+    "Census",
+    "FleetView",
+    "Grant",
+    "Granted",
+    "Health",
+    "HeldPermit",
+    "Inventory",
+    "NotHome",
+    "Permit",
+    "ProbeKind",
+    "ProbeOrder",
+    "ProbeResult",
+    "Report",
+    "Summary",
+    "SummaryEntry",
+    "TargetClient",
+    "TargetCondition",
+    "TargetHome",
+    "Targets",
+    "Trust",
+    "usable_target",
+]
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_fleet.py
@@ -0,0 +1,58 @@
+"""What the parts of this package need of the fleet."""
+
+from typing import Protocol
+
+from egretrock.state.config import (
+    DataCentreState,
+    PublishedConfig,
+    Target,
+    TargetPublishedState,
+)
+from egretrock.state.ids import NodeId, ServiceId, TargetId
+from egretrock.state.membership import VmList
+
+
+class FleetView(Protocol):
+    """Freshness, documents and partition leases of this node."""
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Returns whether configuration and VM list are confirmed."""
+        ...
+
+    def config(self) -> PublishedConfig | None:
+        """Returns the configuration in force."""
+        ...
+
+    def vms(self) -> VmList | None:
+        """Returns the VM list in force."""
+        ...
+
+    def alive_nodes(self, now_s: float) -> frozenset[NodeId]:
+        """Returns the nodes heard from recently."""
+        ...
+
+    def partition_holder(self, partition: int, now_s: float) -> NodeId | None:
+        """Returns the node that probably holds a partition."""
+        ...
+
+    def holds(self, partition: int, now_s: float) -> bool:
+        """Returns whether this node, and no other, holds a partition."""
+        ...
+
+    def held_since_s(self, partition: int) -> float | None:
+        """Returns since when this node holds a partition."""
+        ...
+
+
+def usable_target(
+    config: PublishedConfig, service: ServiceId, target: TargetId
+) -> Target | None:
+    """Returns the entry of a target that may receive new work, or None."""
+    entry = config.services.get(service)
+    published = entry.targets.get(target) if entry else None
+    if published is None or published.state is TargetPublishedState.LEAVING:
+        return None
+    data_centre = config.data_centres.get(published.data_centre)
+    if data_centre is None or data_centre.state is DataCentreState.OUT:
+        return None
+    return published
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_targets.py
@@ -0,0 +1,505 @@
+"""Targets, nodes and partition leases in virtual time."""
+
+import collections
+import dataclasses
+import functools
+import math
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from egretrock.coordination.base import Message, Outbound, Peer
+from egretrock.coordination.targets import (
+    Assignment,
+    CallOutcome,
+    CallResult,
+    Health,
+    Permit,
+    ProbeOrder,
+    ProbeResult,
+    TargetCondition,
+    Targets,
+    usable_target,
+)
+from egretrock.state.config import PublishedConfig, check_config
+from egretrock.state.ids import (
+    Incarnation,
+    InstanceId,
+    NodeId,
+    ServiceId,
+    TargetId,
+    TicketId,
+)
+from egretrock.state.membership import VmList
+from egretrock_standins.virtual._network import Faults, VirtualNetwork
+
+#: One way between a node and a target.
+TARGET_DELAY_S = 0.001
+#: Time until the callers of a process that ended know that it did.
+CLOSE_DELAY_S = 0.0015
+
+
+class VirtualLeases:
+    """Documents and one holder for all partitions, as a node sees them.
+
+    A new holder starts only after the old one has stopped; a node may be
+    late to learn of a document or of a holder.
+    """
+
+    def __init__(self, world: "VirtualWorld", node: NodeId) -> None:
+        self._world = world
+        self._node = node
+        self.fresh = True
+        self.known_config = world.config
+        self.guess: NodeId | None = None
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Returns whether the node is fresh."""
+        return self.fresh
+
+    def config(self) -> PublishedConfig | None:
+        """Returns the configuration that the node knows."""
+        return self.known_config
+
+    def vms(self) -> VmList | None:
+        """Returns the VM list."""
+        return self._world.vms
+
+    def alive_nodes(self, now_s: float) -> frozenset[NodeId]:
+        """Returns the nodes that run."""
+        return frozenset(
+            node
+            for node, entry in self._world.nodes.items()
+            if not entry.frozen
+        )
+
+    def partition_holder(self, partition: int, now_s: float) -> NodeId | None:
+        """Returns the guess of this node, which may be wrong."""
+        return self.guess or self._world.holder
+
+    def holds(self, partition: int, now_s: float) -> bool:
+        """Returns whether this node is the one holder."""
+        return self._world.holder == self._node
+
+    def held_since_s(self, partition: int) -> float | None:
+        """Returns since when this node is the holder."""
+        held = self._world.holder == self._node
+        return self._world.holder_since_s if held else None
+
+
+@dataclasses.dataclass
+class _Call:
+    node: "VirtualNode"
+    permit: Permit
+    sent_s: float
+    instance: InstanceId
+    running: bool = False
+    done: bool = False
+
+
+class VirtualTarget:
+    """A target with slots, a queue and a ramp that it expects to be kept."""
+
+    def __init__(
+        self, world: "VirtualWorld", target: TargetId, service_s: float
+    ) -> None:
+        self.target = target
+        self.service_s = service_s
+        self.up = True
+        self.condition = TargetCondition.READY
+        self.calls: list[_Call] = []
+        self.served = 0
+        self._world = world
+        self._starts = 0
+        self.instance = InstanceId("")
+        self.started_s = 0.0
+        self.start()
+
+    def start(self) -> None:
+        """Starts a new instance."""
+        self._starts += 1
+        self.instance = InstanceId(f"{self.target}-{self._starts}")
+        self.started_s = self._world.now_s
+        self.up = True
+
+    def stop(self) -> None:
+        """Ends the process; its connections close."""
+        self.up = False
+        calls, self.calls = self.calls, []
+        for call in calls:
+            call.done = True
+            self._world.later(
+                CLOSE_DELAY_S, call.node.end_call, call, CallOutcome.LOST
+            )
+        for node in list(self._world.nodes.values()):
+            self._world.later(
+                CLOSE_DELAY_S, node.on_close, self.target, self.instance
+            )
+
+    def allowed(self) -> int:
+        """Returns how many requests the ramp allows now."""
+        world = self._world
+        slots = world.slots
+        warmup = world.profile.warmup
+        elapsed_s = world.now_s - self.started_s
+        if elapsed_s >= warmup.duration_s:
+            return 1_000_000
+        initial = min(slots, warmup.initial_concurrency)
+        part = elapsed_s / warmup.duration_s
+        return math.floor(initial + (slots - initial) * part)
+
+    def arrive(self, call: _Call) -> None:
+        """Takes a request."""
+        if not self.up or call.instance not in ("", self.instance):
+            outcome = CallOutcome.LOST if call.instance else CallOutcome.REFUSED
+            self._world.later(TARGET_DELAY_S, call.node.end_call, call, outcome)
+            return
+        call.instance = self.instance
+        self.calls.append(call)
+        if len(self.calls) > self.allowed():
+            excess = (
+                f"{self.target} had {len(self.calls)} requests "
+                f"{self._world.now_s - self.started_s:.3f} s after its start; "
+                f"its ramp allows {self.allowed()}"
+            )
+            self._world.excesses.append(excess)
+        self._run_next()
+
+    def _run_next(self) -> None:
+        running = sum(call.running for call in self.calls)
+        for call in self.calls:
+            if running >= self._world.slots:
+                return
+            if not call.running:
+                call.running = True
+                running += 1
+                time_s = self._world.rng.lognormvariate(-0.125, 0.5)
+                self._world.later(time_s * self.service_s, self._end, call)
+
+    def _end(self, call: _Call) -> None:
+        if call.done:
+            return
+        call.done = True
+        self.calls.remove(call)
+        self.served += 1
+        self._world.later(
+            TARGET_DELAY_S, call.node.end_call, call, CallOutcome.OK
+        )
+        self._run_next()
+
+    def health(self) -> Health:
+        """Returns what the target tells a probe."""
+        return Health(
+            self.instance,
+            self.condition,
+            uptime_s=self._world.now_s - self.started_s,
+            slots=self._world.slots,
+            busy=len(self.calls),
+        )
+
+
+class VirtualNode:
+    """A node: its ``Targets``, its connections and its requests."""
+
+    def __init__(self, world: "VirtualWorld", peer: Peer) -> None:
+        self.peer = peer
+        self.frozen = False
+        self.leases = VirtualLeases(world, peer.node)
+        self.targets = Targets(
+            peer, self.leases, random.Random(peer.incarnation)
+        )
+        self.connections: dict[TargetId, InstanceId] = {}
+        self.waiting: dict[TicketId, float] = {}
+        self.in_flight = 0
+        self._world = world
+        self._next_ticket = 0
+        self._held_events: list[Callable[[], None]] = []
+
+    def offer(self, deadline_s: float = 5.0) -> None:
+        """Takes a request of a caller."""
+        if self.frozen:
+            return
+        now_s = self._world.now_s
+        self._request(now_s, now_s + deadline_s)
+
+    def _request(self, offered_s: float, deadline_s: float) -> None:
+        self._next_ticket += 1
+        ticket = TicketId(self._next_ticket)
+        self.waiting[ticket] = offered_s
+        self._send(
+            self.targets.client.request(
+                ticket,
+                self._world.service,
+                "acme",
+                frozenset(),
+                deadline_s,
+                self._world.now_s,
+            )
+        )
+
+    def on_tick(self, now_s: float) -> list[Outbound]:
+        """Does what is due, probes included."""
+        out = self.targets.on_tick(now_s)
+        for order in self.targets.home.take_probes(now_s):
+            self._probe(order)
+        self._dispatch()
+        return out
+
+    def on_message(
+        self, sender: Peer, body: Message, now_s: float
+    ) -> list[Outbound]:
+        """Takes a message of another node."""
+        out = self.targets.on_message(sender, body, now_s)
+        self._dispatch()
+        return out
+
+    def on_close(self, target: TargetId, instance: InstanceId) -> None:
+        """Takes that the connections to an instance were closed."""
+        if self.frozen:
+            self._held_events.append(
+                functools.partial(self.on_close, target, instance)
+            )
+            return
+        if self.connections.get(target) == instance:
+            del self.connections[target]
+            client = self.targets.client
+            service, now_s = self._world.service, self._world.now_s
+            self._send(client.connection_lost(service, target, now_s))
+
+    def end_call(self, call: _Call, outcome: CallOutcome) -> None:
+        """Takes the end of a call."""
+        world = self._world
+        if world.nodes.get(self.peer.node) is not self:
+            return
+        if self.frozen:
+            self._held_events.append(
+                functools.partial(self.end_call, call, outcome)
+            )
+            return
+        self.in_flight -= 1
+        latency_s = world.now_s - call.sent_s
+        target = call.permit.target
+        instance = None
+        if outcome is CallOutcome.OK:
+            instance = call.instance
+            self.connections[target] = instance
+            world.latencies.append(latency_s)
+        elif self.connections.get(target) == call.instance:
+            del self.connections[target]
+        result = CallResult(outcome, latency_s, instance)
+        finish = self.targets.client.finish
+        self._send(finish(call.permit, result, world.now_s))
+
+    def wake(self) -> None:
+        """Goes on after a freeze."""
+        self.frozen = False
+        events, self._held_events = self._held_events, []
+        for event in events:
+            event()
+
+    def _send(self, messages: list[Outbound]) -> None:
+        now_s = self._world.now_s
+        messages = self.targets.route(messages, now_s)
+        self._world.network.send(self.peer.node, messages)
+        self._dispatch()
+
+    def _dispatch(self) -> None:
+        world = self._world
+        client = self.targets.client
+        for assignment in client.poll(world.now_s):
+            self._dispatch_one(assignment)
+
+    def _dispatch_one(self, assignment: Assignment) -> None:
+        world = self._world
+        client, permit = self.targets.client, assignment.permit
+        offered_s = self.waiting.pop(assignment.ticket)
+        instance = self.connections.get(permit.target)
+        allowed = client.may_dispatch(permit, world.now_s)
+        if world.check_dispatch:
+            allowed = allowed and (permit.new_connection or instance)
+        if not allowed:
+            result = CallResult(CallOutcome.UNUSED)
+            world.later(0.002, self._request, offered_s, offered_s + 5.0)
+            self._send(client.finish(permit, result, world.now_s))
+            return
+        world.waits.append(world.now_s - offered_s)
+        if usable_target(world.config, permit.service, permit.target) is None:
+            known = usable_target(
+                self.leases.known_config, permit.service, permit.target
+            )
+            if known is None:
+                world.excesses.append(f"dispatch to {permit.target}")
+        self.in_flight += 1
+        call = _Call(self, permit, world.now_s, instance or InstanceId(""))
+        world.later(TARGET_DELAY_S, world.targets[permit.target].arrive, call)
+
+    def _probe(self, order: ProbeOrder) -> None:
+        world = self._world
+        if not self.targets.home.may_probe(order, world.now_s):
+            return
+        world.probe_times_s.append(world.now_s)
+        target = world.targets.get(order.target)
+        up = target is not None and target.up
+        health = target.health() if up else None
+        result = ProbeResult(order, health, refused=not up)
+        world.later(0.003, self._end_probe, result)
+
+    def _end_probe(self, result: ProbeResult) -> None:
+        if not self.frozen:
+            self.targets.home.on_probe(result, self._world.now_s)
+
+
+class VirtualWorld:
+    """A fleet, the targets of one service, and callers.
+
+    Args:
+        seed: Seed of everything random.
+        node_count: Nodes.
+        target_count: Targets.
+        slots: Slots of each target.
+        profile: Fields of the profile in the form of the configuration.
+        faults: What happens to messages.
+        service_s: Mean service time.
+    """
+
+    service = ServiceId("records")
+
+    def __init__(
+        self,
+        seed: int,
+        node_count: int = 6,
+        target_count: int = 4,
+        slots: int = 4,
+        profile: dict | None = None,
+        faults: Faults | None = None,
+        service_s: float = 0.02,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.network = VirtualNetwork(self.rng, faults or Faults())
+        self.slots = slots
+        self.tree = {
+            "organisations": {"acme": {"rate_per_s": 1, "burst": 1}},
+            "data_centres": {"east": {}, "west": {}},
+            "profiles": {"p": profile or {}},
+            "services": {
+                self.service: {
+                    "profile": "p",
+                    "targets": {
+                        f"t{n}": {
+                            "address": f"127.0.0.1:{9000 + n}",
+                            "data_centre": ("east", "west")[n % 2],
+                            "slots": slots,
+                        }
+                        for n in range(target_count)
+                    },
+                }
+            },
+            "routes": {},
+            "keys": {},
+        }
+        self.config = self._checked()
+        self.profile = self.config.profiles["p"]
+        self.node_ids = [
+            NodeId(f"127.0.0.1:{7000 + n}") for n in range(node_count)
+        ]
+        vms = {
+            node: {"data_centre": ("east", "west")[n % 2]}
+            for n, node in enumerate(self.node_ids)
+        }
+        self.vms = _convert_vms(vms)
+        self.holder: NodeId | None = None
+        self.holder_since_s = 0.0
+        self.check_dispatch = True
+        self.excesses: list[str] = []
+        self.latencies: list[float] = []
+        self.waits: list[float] = []
+        self.probe_times_s: list[float] = []
+        self.nodes: dict[NodeId, VirtualNode] = {}
+        self.targets = {
+            TargetId(name): VirtualTarget(self, TargetId(name), service_s)
+            for name in self.tree["services"][self.service]["targets"]
+        }
+        self._incarnations = 0
+        for node in self.node_ids:
+            self.start_node(node)
+
+    @property
+    def now_s(self) -> float:
+        """Virtual time."""
+        return self.network.now_s
+
+    def later(
+        self, delay_s: float, call: Callable[..., None], *args: object
+    ) -> None:
+        """Runs a call after a delay."""
+        self.network.at(self.now_s + delay_s, call, *args)
+
+    def start_node(self, node: NodeId) -> None:
+        """Starts a process on a VM."""
+        self._incarnations += 1
+        peer = Peer(node, Incarnation(self._incarnations))
+        entry = VirtualNode(self, peer)
+        self.nodes[node] = entry
+        self.network.add(peer, entry.on_message, entry.on_tick, tick_s=0.01)
+
+    def kill_node(self, node: NodeId) -> None:
+        """Ends a process; its requests at targets go on, as after a fault."""
+        self.nodes.pop(node, None)
+        self.network.kill(node)
+
+    def freeze(self, node: NodeId) -> None:
+        """Stops a process."""
+        self.nodes[node].frozen = True
+        self.network.freeze(node)
+
+    def wake(self, node: NodeId) -> None:
+        """Lets a stopped process go on."""
+        entry = self.nodes.get(node)
+        if entry is not None and entry.frozen:
+            entry.wake()
+            self.network.wake(node)
+
+    def move_home(self, node: NodeId | None) -> None:
+        """Gives all partitions to a node."""
+        self.holder = node
+        self.holder_since_s = self.now_s
+
+    def publish(self, lag_s: float = 0.0) -> None:
+        """Publishes ``tree``; nodes learn of it up to ``lag_s`` later."""
+        self.config = self._checked()
+        for entry in list(self.nodes.values()):
+            delay_s = lag_s * self.rng.random()
+            self.later(
+                delay_s, setattr, entry.leases, "known_config", self.config
+            )
+
+    def load(self, rate_per_s: float, until_s: float) -> None:
+        """Offers requests at random nodes until a time."""
+        if self.now_s >= until_s:
+            return
+        nodes = list(self.nodes.values())
+        if nodes:
+            self.rng.choice(nodes).offer()
+        delay_s = self.rng.expovariate(rate_per_s)
+        self.later(delay_s, self.load, rate_per_s, until_s)
+
+    def run(self, until_s: float) -> None:
+        """Runs to a virtual time."""
+        self.network.run(until_s)
+
+    def outcome_counts(self) -> collections.Counter[str]:
+        """Returns the number of requests served by target."""
+        return collections.Counter(
+            {t.target: t.served for t in self.targets.values()}
+        )
+
+    def _checked(self) -> PublishedConfig:
+        report = check_config(msgspec.json.encode(self.tree))
+        if report.value is None:
+            raise ValueError([str(finding) for finding in report.findings])
+        return report.value
+
+
+def _convert_vms(vms: dict) -> VmList:
+    return msgspec.convert({"vms": vms}, VmList)
