Bound what a home keeps and limit trials of failing targets

Cause: review. A target that fails at once drew most calls, a permit for a target that the node's newer configuration rules out was issued again at once, and inventories had no bound. Change: trials every 0.2 s, outcome UNUSABLE blocks the pair for 1 s, bounds for inventories and unlisted sessions, queries are answered with an ask.

--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -132,6 +132,7 @@
     busy_s: float = 0.0
     renewed_s: float = 0.0
     latency_s: float | None = None
+    blocked: bool = False
 
 
 class _Session:
@@ -159,6 +160,7 @@
         self.next_report = 0
         self.lost: dict[TargetId, int] = {}  # to the ask that tells, or 0
         self.summary_version = 0
+        self.queried = False
         self.has_own_choice = False
 
     def receive(self, number: int) -> bool:
@@ -296,18 +298,13 @@
         """
         client = self._service(permit.service)
         held = client.held.get(permit.permit_id)
-        if held is None or not held.assigned or now_s >= held.expires_s:
+        if held is None or not held.assigned or held.blocked:
             return False
-        if not self._fleet.is_fresh(now_s):
-            return False
-        config = self._fleet.config()
-        if config is None:
+        if now_s >= held.expires_s:
             return False
-        published = usable_target(config, permit.service, permit.target)
-        if published is None or published.address != permit.address:
+        if not self._fleet.is_fresh(now_s):
             return False
-        doubt = client.doubted.get(permit.target)
-        if doubt is not None and held.received_s <= doubt[0]:
+        if not self._is_usable(permit):
             return False
         return permit.new_connection or (
             permit.instance is not None
@@ -322,6 +319,8 @@
         held = client.held.get(permit.permit_id)
         if held is None or not held.assigned:
             return []
+        if result.outcome is CallOutcome.UNUSED and not self._is_usable(permit):
+            result = CallResult(CallOutcome.UNUSABLE)
         self._learn(client, held, result, now_s)
         if held.standing:
             self._finish_standing(client, held, result, now_s)
@@ -330,6 +329,14 @@
         self._assign_standing(client, now_s)
         return self._work(client, now_s)
 
+    def _is_usable(self, permit: Permit) -> bool:
+        """Returns whether the configuration allows new work at the target."""
+        config = self._fleet.config()
+        if config is None:
+            return False
+        published = usable_target(config, permit.service, permit.target)
+        return published is not None and published.address == permit.address
+
     def connection_lost(
         self, service: ServiceId, target: TargetId, now_s: float
     ) -> list[Outbound]:
@@ -338,6 +345,7 @@
         For connections with a request, ``finish`` with ``LOST`` is enough.
         """
         client = self._service(service)
+        self._disconnect(client, target)
         self._doubt(client, target, now_s)
         return self._work(client, now_s)
 
@@ -346,9 +354,7 @@
     ) -> list[Outbound]:
         """Takes that no connection to a target is open any more."""
         client = self._service(service)
-        client.connected.pop(target, None)
-        if client.session is not None:
-            client.session.lost[target] = 0
+        self._disconnect(client, target)
         return []
 
     def known_targets(
@@ -430,6 +436,7 @@
             session.receive(number)
             if number not in session.held:
                 session.report(Report(number, CallOutcome.UNUSED))
+        session.queried = session.queried or bool(body.query)
         if body.recall:
             self._release_idle(client)
         return self._work(client, now_s)
@@ -476,6 +483,7 @@
         client.parts[body.part] = body
         if len(client.parts) < body.parts:
             return []
+        before = client.summary
         client.summary = {
             entry.target: entry
             for part in client.parts.values()
@@ -484,6 +492,11 @@
         client.parts.clear()
         client.summary_key = key
         client.summary_s = now_s
+        for target, entry in client.summary.items():
+            known = before.get(target)
+            warm = known is not None and known.trust is Trust.WARM
+            if warm and entry.trust is not Trust.WARM:
+                self._doubt(client, target, now_s)
         for target, (_, seen) in list(client.doubted.items()):
             entry = client.summary.get(target)
             if seen != key and entry and entry.trust is Trust.WARM:
@@ -599,7 +612,7 @@
             return []
         demand = session.received() + min(len(client.tickets), MAX_DEMAND)
         renewals = self._renewals(client, session, now_s)
-        told = session.reports or session.lost or renewals
+        told = session.reports or session.lost or renewals or session.queried
         changed = demand != session.demand
         refresh = bool(client.tickets) and since_s >= ASK_REFRESH_S
         summary_due = session.summary_version != (
@@ -612,6 +625,7 @@
             told or changed or refresh or summary_due or session.waiting_seq
         ):
             return []
+        session.queried = False
         session.seq += 1
         if session.waiting_seq:
             session.back_off()
@@ -668,7 +682,11 @@
         published = None
         if config is not None:
             published = usable_target(config, client.service, granted.target)
-        if published is None or now_s >= expires_s:
+        if published is None:
+            report = Report(granted.number, CallOutcome.UNUSABLE)
+            session.report(report)
+            return
+        if now_s >= expires_s:
             session.report(Report(granted.number, CallOutcome.UNUSED))
             return
         held = self._hold(
@@ -770,8 +788,17 @@
         """Lowers trust at once; the home is told in the next message."""
         target = held.permit.target
         if result.outcome in (CallOutcome.LOST, CallOutcome.REFUSED):
+            self._disconnect(client, target)
             self._doubt(client, target, now_s)
             return
+        if result.outcome is CallOutcome.UNUSED:
+            instance = client.connected.get(target)
+            if not held.permit.new_connection and (
+                instance is None or instance != held.permit.instance
+            ):
+                # The home takes this node to be connected.
+                self._disconnect(client, target)
+            return
         if result.condition in (
             TargetCondition.COLD,
             TargetCondition.DRAINING,
@@ -796,15 +823,20 @@
     def _doubt(
         self, client: _ServiceClient, target: TargetId, now_s: float
     ) -> None:
-        client.connected.pop(target, None)
+        """Blocks a target for all permits that this node holds now."""
         client.doubted[target] = (now_s, client.summary_key)
-        if client.session is not None:
-            client.session.lost[target] = 0
         for held in list(client.held.values()):
-            idle = held.standing and not held.assigned
-            if idle and held.permit.target == target:
+            if held.permit.target != target:
+                continue
+            held.blocked = True
+            if held.standing and not held.assigned:
                 self._release(client, held, CallResult(CallOutcome.UNUSED))
 
+    def _disconnect(self, client: _ServiceClient, target: TargetId) -> None:
+        client.connected.pop(target, None)
+        if client.session is not None:
+            client.session.lost[target] = 0
+
     # Standing permits.
 
     def _standing(self, client: _ServiceClient) -> list[_Held]:
@@ -830,7 +862,8 @@
         held.busy_s += now_s - max(held.assigned_s, held.renewed_s)
         held.latency_s = result.latency_s
         plain = (
-            result.outcome in (CallOutcome.OK, CallOutcome.UNUSED)
+            result.outcome is CallOutcome.OK
+            and not held.blocked
             and result.instance in (None, held.permit.instance)
             and result.condition in (None, TargetCondition.READY)
         )
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
@@ -73,6 +73,10 @@
 #: A node that was refused gets no permit for the target for this time; the
 #: fault may lie between the two.
 BLOCKED_S = 1.0
+#: Sessions of nodes that the VM list does not name (yet).
+MAX_UNLISTED = 32
+#: Parts of one inventory.
+MAX_PARTS = 64
 #: Largest part of a list of numbers in one message.
 MAX_NUMBERS = 40
 
@@ -213,6 +217,11 @@
                 node: vm.data_centre for node, vm in vms.vms.items()
             }
             self._vm_count = max(1, len(vms.vms))
+            self._partial = {
+                node: partial
+                for node, partial in self._partial.items()
+                if node in vms.vms
+            }
             self._last_sessions = {
                 node: last
                 for node, last in self._last_sessions.items()
@@ -249,6 +258,14 @@
     ) -> list[Outbound]:
         """Starts a session once all parts have arrived."""
         node = sender.node
+        if not 0 <= body.part < body.parts <= MAX_PARTS:
+            self._counters.increment("targets.home.bad_inventories")
+            return []
+        if node not in self._data_centres:
+            known = self.sessions.keys() | self._partial.keys()
+            unlisted = known - self._data_centres.keys() - {node}
+            if len(unlisted) >= MAX_UNLISTED:
+                return []
         session = self.sessions.get(node)
         key = sender.incarnation, body.session
         if session is None or key != (session.incarnation, session.number):
@@ -521,7 +538,9 @@
             del session.permits[report.number]
             self.ledger.remove(permit)
         outcome = report.outcome
-        if outcome is CallOutcome.UNUSED:
+        if outcome is CallOutcome.UNUSABLE:
+            session.blocked[permit.target] = now_s + BLOCKED_S
+        if outcome in (CallOutcome.UNUSED, CallOutcome.UNUSABLE):
             return
         record = self.records.get(permit.target)
         if outcome in (CallOutcome.LOST, CallOutcome.REFUSED):
@@ -543,6 +562,8 @@
             return  # a failure of an instance that is already replaced
         if outcome is CallOutcome.REFUSED:
             session.blocked[permit.target] = now_s + BLOCKED_S
+        if outcome is CallOutcome.OK and not record.is_failing():
+            record.kept_one = False
         record.on_result(
             outcome,
             report.latency_ms / 1000,
@@ -674,6 +695,7 @@
             and record.trust is Trust.WARM
             and session.standing_count() < max(1, quota // self._vm_count)
         )
+        record.issued_s = now_s
         session.issued += 1
         permit = IssuedPermit(
             number=session.issued,
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_messages.py
@@ -37,6 +37,7 @@
     TIMEOUT = "time"
     CANCELLED = "can"
     UNUSED = "un"  # nothing was sent
+    UNUSABLE = "bad"  # the node's configuration rules the target out
 
 
 class TargetCondition(enum.Enum):
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_record.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_record.py
@@ -31,6 +31,8 @@
 #: Weight of one call in the recent latency and the failed share.
 FAST_WEIGHT = 0.2
 SLOW_WEIGHT = 0.01
+#: Pause between the trials of a target that fails where others do not.
+TRIAL_INTERVAL_S = 0.2
 #: Calls until the long-term latency is known.
 SETTLED_CALLS = 20
 #: Answers to other nodes within this time count as a reachable target.
@@ -74,6 +76,9 @@
         self.eligible = True
         self.probed_s = -math.inf
         self.probe_count = 0
+        self.issued_s = -math.inf
+        self.kept_one = False
+        self._health_s = -math.inf
         self._instance_s = now_s
         self._answered_s: dict[NodeId, float] = {}
         self._past: collections.deque[InstanceId] = collections.deque(maxlen=8)
@@ -108,6 +113,9 @@
         """Returns how many requests may be outstanding over the fleet."""
         if self.trust in (Trust.DOWN, Trust.DRAINING):
             return 0
+        if self.kept_one:
+            # A target that fails at once would else draw most of the calls.
+            return int(now_s - self.issued_s >= TRIAL_INTERVAL_S)
         if self.trust is Trust.SUSPECT:
             return self.initial
         limit = self.ceiling
@@ -219,7 +227,7 @@
             self.suspect(now_s)
         elif outcome is CallOutcome.SHED:
             self._decrease(SHED_FACTOR, now_s)
-        if outcome in (CallOutcome.UNUSED, CallOutcome.CANCELLED):
+        if outcome is CallOutcome.CANCELLED:
             return
         good = outcome is CallOutcome.OK
         self.failed_share += FAST_WEIGHT * ((not good) - self.failed_share)
@@ -242,10 +250,13 @@
         """Takes the answer to a probe sent at ``sent_s``."""
         if not self.on_instance(health.instance, sent_s, now_s):
             return
-        if health.uptime_s is not None:
-            if health.uptime_s < self._uptime_s:
-                self._become_cold(now_s)
-            self._uptime_s = health.uptime_s
+        if sent_s > self._health_s:
+            # Answers may overtake each other.
+            self._health_s = sent_s
+            if health.uptime_s is not None:
+                if health.uptime_s < self._uptime_s:
+                    self._become_cold(now_s)
+                self._uptime_s = health.uptime_s
         if self.trust is Trust.DOWN or (
             self.trust is Trust.DRAINING
             and health.condition is TargetCondition.READY
@@ -269,7 +280,8 @@
         self._excess_until_s = now_s + LOAD_REPORT_S
 
     def keep_one(self) -> None:
-        """Leaves one request to a target that fails where others do not."""
+        """Leaves a trial now and then to a target that fails alone."""
+        self.kept_one = True
         self._limit = 1.0
 
     def is_failing(self) -> bool:
@@ -294,6 +306,7 @@
         self._limit = float(self.ceiling)
         self._calls = 0
         self.failed_share = 0.0
+        self.kept_one = False
 
     def _take_success(self, issued_s: float, now_s: float) -> None:
         if self.trust is Trust.DOWN:
