Wait for a settled peer before a new process uses shares and partitions

Change: import from the new place; flag CHANGING in heartbeats; a new process uses its share and partitions once an established process says that no change is going on, or once every listed process says that it knows no earlier list.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_bootstrap.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_bootstrap.py
@@ -86,40 +86,65 @@
         if any(_knows_more(peer, known) for peer in peers):
             return False
         answered = [p for p in peers if p.answered_s is not None]
-        settled_s = self._caught_up(known, answered, now_s)
-        if settled_s is None:
-            return False
-        self.established_s = now_s
-        self.exclusive_from_s = settled_s
-        return True
-
-    def _caught_up(
-        self, known: Knowledge, answered: list[PeerState], now_s: float
-    ) -> float | None:
-        """Returns from when shares and partitions may be used, or None.
+        if self._has_met_established(known, answered):
+            self.established_s = now_s
+        elif self._has_met_new_majority(known, answered, now_s):
+            self.established_s = now_s
+            settled_s = known.vms_accepted_s + settings.growth_s
+            self.exclusive_from_s = settled_s
+        return self.is_established
+
+    def settle(
+        self, known: Knowledge, peers: list[PeerState], now_s: float
+    ) -> None:
+        """Decides from when shares and partitions may be used.
 
-        Nodes that know only an earlier VM list may go on for ``growth_s``,
-        unless an established process says that the change is over.
+        The process does not know which lists the one in force replaces, and
+        a majority of such a list may go on without it. So it waits until an
+        established process says that no change is going on, or until all
+        listed processes say that they know of no earlier list.
         """
-        count = len(known.vm_list.vms)
-        growth_s = self._settings.growth_s
-        established = [
+        if not self.is_established or self.exclusive_from_s < float("inf"):
+            return
+        current = [p for p in peers if p.vms_in_force == known.vms_in_force]
+        if any(peer.has(NodeFlag.SETTLED) for peer in current):
+            self.exclusive_from_s = now_s
+            return
+        alive_s = now_s - self._settings.alive_s
+        unchanging = [
             peer
-            for peer in answered
-            if peer.has(NodeFlag.ESTABLISHED)
-            and peer.vms_in_force == known.vms_in_force
+            for peer in current
+            if peer.heard_s >= alive_s and not peer.has(NodeFlag.CHANGING)
         ]
-        if len(established) >= count - majority_size(count) + 1:
-            if any(peer.has(NodeFlag.SETTLED) for peer in established):
-                return now_s
-            return now_s + growth_s
+        if len(unchanging) == len(known.vm_list.vms) - 1:
+            self.exclusive_from_s = now_s + self._settings.growth_s
+
+    def _has_met_established(
+        self, known: Knowledge, answered: list[PeerState]
+    ) -> bool:
+        count = len(known.vm_list.vms)
+        established = sum(
+            peer.has(NodeFlag.ESTABLISHED)
+            and peer.vms_in_force == known.vms_in_force
+            and peer.peer.node in known.vm_list.vms
+            for peer in answered
+        )
+        return established >= self._needed(count)
+
+    def _has_met_new_majority(
+        self, known: Knowledge, answered: list[PeerState], now_s: float
+    ) -> bool:
         new_count = 1 + sum(
-            not peer.has(NodeFlag.ESTABLISHED) for peer in answered
+            not peer.has(NodeFlag.ESTABLISHED)
+            and peer.peer.node in known.vm_list.vms
+            for peer in answered
         )
+        enough = majority_size(len(known.vm_list.vms))
         # The wait leaves established processes time to answer.
-        if self.is_handed_over(now_s) and new_count >= majority_size(count):
-            return known.vms_accepted_s + growth_s
-        return None
+        return new_count >= enough and self.is_handed_over(now_s)
+
+    def _needed(self, count: int) -> int:
+        return count - majority_size(count) + 1
 
 
 def _knows_more(peer: PeerState, known: Knowledge) -> bool:
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_documents.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_documents.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from egretrock.state.config import Finding
+from egretrock.state.findings import Finding
 from egretrock.state.ids import Revision
 
 V = TypeVar("V")
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -50,11 +50,11 @@
     peer_status,
 )
 from egretrock.state.config import (
-    Finding,
     PublishedConfig,
     check_config,
     check_vm_list,
 )
+from egretrock.state.findings import Finding
 from egretrock.state.ids import Incarnation, NodeId, OrganisationId, Revision
 from egretrock.state.membership import VmList
 
@@ -89,6 +89,7 @@
     voter_type = Voter
     holder_type = PartitionHolder
     store_type = DocumentStore
+    questions_type = QuestionLog
 
     def __init__(
         self,
@@ -115,7 +116,7 @@
         self._limits = LimitHistory(settings.growth_s)
         self._peers = PeerTable()
         keep_s = max(settings.freshness_s, settings.vote_s)
-        self._questions = QuestionLog(rng, keep_s)
+        self._questions = self.questions_type(rng, keep_s)
         self._placement = Placement()
         self._voter = self.voter_type(settings.promise_s)
         self._holder = self.holder_type(self._lists, settings.vote_s)
@@ -443,7 +444,7 @@
         confirmed_s = min(
             self._freshness.confirmed_s(name) for name in DocumentName
         )
-        if not self._bootstrap.is_established:
+        if self._bootstrap.exclusive_from_s == float("inf"):
             known = Knowledge(
                 vm_list=vm_list,
                 vms_accepted_s=accepted_s,
@@ -451,9 +452,12 @@
                 seen={n: store.seen for n, store in self._stores.items()},
                 confirmed_s=confirmed_s,
             )
-            if not self._bootstrap.evaluate(known, self._known_peers(), now_s):
-                return
-            self._counters.increment("fleet.established")
+            peers = self._known_peers()
+            if self._bootstrap.evaluate(known, peers, now_s):
+                self._counters.increment("fleet.established")
+            self._bootstrap.settle(known, peers, now_s)
+        if not self._bootstrap.is_established:
+            return
         self._fresh_until_s = confirmed_s + self.settings.freshness_s
 
     def _current_nodes(self) -> frozenset[NodeId]:
@@ -547,10 +551,10 @@
         flags = NodeFlag(0)
         if self._bootstrap.is_established:
             flags |= NodeFlag.ESTABLISHED
-            if self._lists.is_settled and (
-                now_s >= self._bootstrap.exclusive_from_s
-            ):
-                flags |= NodeFlag.SETTLED
+        if not self._lists.is_settled:
+            flags |= NodeFlag.CHANGING
+        elif now_s >= self._bootstrap.exclusive_from_s:
+            flags |= NodeFlag.SETTLED
         if self._is_candidate(now_s):
             flags |= NodeFlag.CANDIDATE
         if self._is_released:
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_messages.py
@@ -20,7 +20,8 @@
         ESTABLISHED: It has caught up with the fleet since its start; its
             answers confirm and its votes count.
         CANDIDATE: It may hold partitions.
-        SETTLED: It is in no VM list change.
+        SETTLED: It knows that no earlier VM list counts.
+        CHANGING: It knows of an earlier VM list that counts.
         RELEASED: It uses no partition and never will again.
     """
 
@@ -28,6 +29,7 @@
     CANDIDATE = 2
     SETTLED = 4
     RELEASED = 8
+    CHANGING = 16
 
 
 #: Flags of a node in ordinary operation; not encoded, to save bytes.
