--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -1,5 +1,10 @@
 """Virtual time, a lossy network and virtual targets for tests."""
 
+from egretrock_standins.virtual._fleet import (
+    PlatformView,
+    VirtualFleet,
+    VirtualProcess,
+)
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 from egretrock_standins.virtual._targets import (
     VirtualNode,
@@ -9,8 +14,11 @@
 
 __all__ = [
     "Faults",
+    "PlatformView",
+    "VirtualFleet",
     "VirtualNetwork",
     "VirtualNode",
+    "VirtualProcess",
     "VirtualTarget",
     "VirtualWorld",
 ]
