--- a/packages/egretrock-standins/src/egretrock_standins/fleet_runner/_process.py
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/_process.py
@@ -105,9 +105,13 @@
                 self._popen.kill()
         return self._popen.wait()
 
+    def output(self) -> str:
+        """Returns what the process wrote to standard output."""
+        return self._out.read_text()
+
     def log(self) -> str:
         """Returns what the process wrote to standard output and error."""
-        return self._out.read_text() + self._err.read_text()
+        return self.output() + self._err.read_text()
 
     def cpu_s(self) -> float:
         """Returns the processor seconds used so far; 0 after the end."""
