Add the bench

Change: make bench starts 16 nodes and the targets of both deployments, measures idle control cost, a steady phase and a data centre that leaves and returns, and prints policy permit against policy local; parameters stand in a YAML file. The names of the counters for control messages are still to be settled.

--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the five metrics of the design page with real processes."""
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/bench/__main__.py
@@ -0,0 +1,50 @@
+"""Measures both deployments under each policy; see parameters.yaml."""
+
+import pathlib
+import sys
+
+import cyclopts
+
+from egretrock_standins.bench._measure import measure
+from egretrock_standins.bench._parameters import DEFAULT_FILE, load_parameters
+from egretrock_standins.bench._report import (
+    DeploymentResult,
+    print_deployment,
+    write_results,
+)
+
+app = cyclopts.App(name="bench", help=__doc__)
+
+
+@app.default
+def main(
+    parameters: pathlib.Path = DEFAULT_FILE,
+    results: pathlib.Path = pathlib.Path("bench-results"),
+    only: str | None = None,
+) -> int:
+    """Runs the bench and writes a result file and a plot.
+
+    Args:
+        parameters: YAML file.
+        results: Folder for the results.
+        only: Name of the only deployment to run.
+    """
+    values = load_parameters(parameters)
+    collected = []
+    for name, deployment in values.deployments.items():
+        if only not in (None, name):
+            continue
+        variants = []
+        for policy in values.policies:
+            print(f"{name}, policy {policy.value}: running", flush=True)
+            variants.append(measure(values, deployment, policy))
+        result = DeploymentResult(name, variants)
+        print_deployment(result)
+        collected.append(result)
+    for file in write_results(collected, results):
+        print(f"written: {file}")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(app())
--- a/packages/egretrock-standins/src/egretrock_standins/load/__main__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/__main__.py
@@ -9,7 +9,7 @@
 from egretrock_standins.fleet_runner import Fleet, FleetPlan, PlannedTarget
 from egretrock_standins.load._processes import run_generators
 from egretrock_standins.load._results import LoadResult
-from egretrock_standins.load._spec import Caller, LoadSpec, Mode
+from egretrock_standins.load._spec import Caller, LoadSpec, Mode, RequestKind
 from egretrock_standins.target import ServiceTime, TargetOptions
 
 app = cyclopts.App(name="load", help=__doc__)
@@ -41,7 +41,9 @@
     """Runs one closed loop of ``count`` requests, at most 60 s."""
     spec = LoadSpec(
         addresses=[address],
-        callers=[Caller(name="alder", key=key, path="/load")],
+        callers=[
+            Caller(name="alder", key=key, requests=[RequestKind(path="/load")])
+        ],
         mode=Mode.CLOSED,
         concurrency=concurrency,
         max_requests=count,
--- a/packages/egretrock-standins/src/egretrock_standins/load/_run.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/_run.py
@@ -13,7 +13,7 @@
     Recorder,
     new_histogram,
 )
-from egretrock_standins.load._spec import Caller, LoadSpec, Mode
+from egretrock_standins.load._spec import LoadSpec, Mode, RequestKind
 
 
 class _Loop:
@@ -84,6 +84,8 @@
     def _send(self, intended_s: float) -> None:
         spec = self._spec
         (caller,) = self._rng.choices(spec.callers, self._weights)
+        weights = [kind.weight for kind in caller.requests]
+        (kind,) = self._rng.choices(caller.requests, weights)
         pool = self._pools[self._sent % len(self._pools)]
         self._sent += 1
         self._pending += 1
@@ -101,9 +103,8 @@
             else:
                 self._check_end()
 
-        pool.send(
-            _request(caller, self._sent, nonce), nonce, spec.timeout_s, done
-        )
+        request = _request(caller.key, kind, self._sent, nonce)
+        pool.send(request, nonce, spec.timeout_s, done)
 
     def _end_sending(self) -> None:
         self._finished_sending = True
@@ -117,18 +118,18 @@
             self._on_end(LoadResult(self._last_s, callers, late_us))
 
 
-def _request(caller: Caller, number: int, nonce: bytes) -> bytes:
+def _request(key: str, kind: RequestKind, number: int, nonce: bytes) -> bytes:
     lines = [
-        f"{caller.method} {caller.path.rstrip('/')}/{number} HTTP/1.1",
+        f"{kind.method} {kind.path.rstrip('/')}/{number} HTTP/1.1",
         "Host: load",
         f"X-Nonce: {nonce.decode()}",
     ]
-    if caller.key:
-        lines.append(f"Authorization: Bearer {caller.key}")
-    if caller.body_bytes or caller.method != "GET":
-        lines.append(f"Content-Length: {caller.body_bytes}")
+    if key:
+        lines.append(f"Authorization: Bearer {key}")
+    if kind.body_bytes or kind.method != "GET":
+        lines.append(f"Content-Length: {kind.body_bytes}")
     head = "\r\n".join(lines) + "\r\n\r\n"
-    return head.encode() + b"x" * caller.body_bytes
+    return head.encode() + b"x" * kind.body_bytes
 
 
 def run_load(spec: LoadSpec) -> LoadResult:
--- a/packages/egretrock-standins/src/egretrock_standins/load/_spec.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/_spec.py
@@ -21,17 +21,31 @@
     OPEN = "open"
 
 
+class RequestKind(msgspec.Struct, forbid_unknown_fields=True):
+    """Requests to one route.
+
+    Attributes:
+        method: Method.
+        path: Path; a running number is added after a slash.
+        weight: Share of the caller's requests.
+        body_bytes: Size of the request's body.
+    """
+
+    method: str = "GET"
+    path: str = "/"
+    weight: PositiveFloat = 1.0
+    body_bytes: int = 0
+
+
 class Caller(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """Requests of one kind.
+    """Requests with one key.
 
     Attributes:
         name: Name in the results, such as the organisation.
         key: Key, or empty for none.
-        method: Method.
-        path: Path; a running number is added after a slash.
+        requests: Kinds of requests.
         rate_per_s: Requests per second of an open loop (Poisson arrivals).
         weight: Share of the requests of a closed loop.
-        body_bytes: Size of the request's body.
         limit_rate_per_s: Published rate; if given, an exact token bucket
             over the intended times tells how many requests exceed it.
         limit_burst: Published burst.
@@ -39,11 +53,11 @@
 
     name: str
     key: str = ""
-    method: str = "GET"
-    path: str = "/"
+    requests: list[RequestKind] = msgspec.field(
+        default_factory=lambda: [RequestKind()]
+    )
     rate_per_s: PositiveFloat = 10.0
     weight: PositiveFloat = 1.0
-    body_bytes: int = 0
     limit_rate_per_s: float | None = None
     limit_burst: float = 0.0
 
--- a/packages/egretrock-standins/src/egretrock_standins/load/tests/steps/load_steps.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/tests/steps/load_steps.py
@@ -5,8 +5,7 @@
 from behave import given, then, when
 
 from egretrock_standins.fleet_runner import ManagedProcess, control
-from egretrock_standins.load import Caller, LoadSpec, Mode
-from egretrock_standins.load._processes import run_generators
+from egretrock_standins.load import Caller, LoadSpec, Mode, run_generators
 
 
 def start_target(context, **options):
