Use the values of the targets part in the request path

Cause: permits and call results were defined in the request path and in the targets part; the targets part compares outcomes by identity, so the copies would never have matched.

Change: one definition, in egretrock.coordination.targets.

--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
@@ -1,21 +1,12 @@
 """The protocol that targets speak; the only place that knows its details."""
 
-import enum
-
 import msgspec
 
+from egretrock.coordination.targets import TargetCondition
 from egretrock.state.ids import InstanceId, OrganisationId, RequestId
 from egretrock_node.protocol.http._headers import HeaderList
 
 
-class TargetCondition(enum.Enum):
-    """State that a target reports about itself."""
-
-    COLD = "cold"
-    READY = "ready"
-    DRAINING = "draining"
-
-
 class TargetHealth(msgspec.Struct, frozen=True):
     """Body of ``GET /health``."""
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
@@ -21,16 +21,12 @@
 )
 from egretrock_node.protocol.requests._values import (
     NO_ORGANISATION,
-    Assignment,
     BeginOutcome,
     BeginResult,
     CallFailure,
-    CallOutcome,
-    CallResult,
     CallState,
     InFlight,
     OutgoingRequest,
-    Permit,
     QueuedRequest,
     RecordKey,
     RetryDecision,
@@ -40,12 +36,9 @@
 
 __all__ = [
     "NO_ORGANISATION",
-    "Assignment",
     "BeginOutcome",
     "BeginResult",
     "CallFailure",
-    "CallOutcome",
-    "CallResult",
     "CallState",
     "CallerPort",
     "Environment",
@@ -55,7 +48,6 @@
     "InFlight",
     "OutgoingRequest",
     "Parts",
-    "Permit",
     "PermitPort",
     "PipelineSettings",
     "PoolObserver",
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -3,6 +3,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from egretrock.coordination.targets import CallOutcome, CallResult, Permit
 from egretrock.state.ids import (
     AttemptId,
     Fingerprint,
@@ -30,11 +31,8 @@
 from egretrock_node.protocol.requests._body import BodyBuffer
 from egretrock_node.protocol.requests._ports import CallerPort, TryHandle
 from egretrock_node.protocol.requests._values import (
-    CallOutcome,
-    CallResult,
     InFlight,
     OutgoingRequest,
-    Permit,
     RecordKey,
     Stage,
     TryFailure,
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -3,6 +3,7 @@
 import itertools
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.targets import Assignment, CallOutcome, CallResult
 from egretrock.state.config import (
     Access,
     DataCentreState,
@@ -53,12 +54,9 @@
 )
 from egretrock_node.protocol.requests._values import (
     NO_ORGANISATION,
-    Assignment,
     BeginOutcome,
     BeginResult,
     CallFailure,
-    CallOutcome,
-    CallResult,
     CallState,
     InFlight,
     QueuedRequest,
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.targets import Assignment, CallResult, Permit
 from egretrock.state.config import PublishedConfig
 from egretrock.state.ids import (
     AttemptId,
@@ -21,13 +22,10 @@
 from egretrock.state.outcome import Refusal, RunState
 from egretrock_node.protocol.http import AnswerHead
 from egretrock_node.protocol.requests._values import (
-    Assignment,
     BeginResult,
     CallFailure,
-    CallResult,
     CallState,
     OutgoingRequest,
-    Permit,
     QueuedRequest,
     RecordKey,
     RetryDecision,
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -6,16 +6,14 @@
 
 from egretrock.state.ids import (
     AttemptId,
-    InstanceId,
     OrganisationId,
     RequestId,
     RouteId,
     ServiceId,
-    TargetId,
     TicketId,
 )
 from egretrock.state.outcome import RetryReason, RunState
-from egretrock_node.protocol.http import HeaderList, TargetCondition
+from egretrock_node.protocol.http import HeaderList
 
 #: Organisation of requests on open routes, which carry no key.
 NO_ORGANISATION = OrganisationId("")
@@ -89,25 +87,6 @@
     refused: bool = False
 
 
-class Permit(msgspec.Struct, frozen=True):
-    """The right to send one request to one target."""
-
-    permit_id: int
-    service: ServiceId
-    target: TargetId
-    address: str
-    instance: InstanceId | None
-    expires_s: float
-    new_connection: bool
-
-
-class Assignment(msgspec.Struct, frozen=True):
-    """A permit for a waiting request."""
-
-    ticket: TicketId
-    permit: Permit
-
-
 class QueuedRequest(msgspec.Struct, frozen=True):
     """A request in the fair queue."""
 
@@ -118,28 +97,6 @@
     deadline_s: float
 
 
-class CallOutcome(enum.Enum):
-    """What came of a permit."""
-
-    OK = "ok"
-    ERROR = "err"
-    SHED = "shed"
-    REFUSED = "ref"
-    LOST = "lost"
-    TIMEOUT = "time"
-    CANCELLED = "can"
-    UNUSED = "un"
-
-
-class CallResult(msgspec.Struct, frozen=True):
-    """How a permit ended."""
-
-    outcome: CallOutcome
-    latency_s: float = 0.0
-    instance: InstanceId | None = None
-    condition: TargetCondition | None = None
-
-
 class CallState(msgspec.Struct, frozen=True):
     """A request for which a retry is considered."""
 
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok
 
 from egretrock.coordination.base import NullCounters
+from egretrock.coordination.targets import Assignment, Permit
 from egretrock.state.config import (
     Access,
     DataCentre,
@@ -23,12 +24,10 @@
     digest_key,
 )
 from egretrock_node.protocol.requests import (
-    Assignment,
     BeginOutcome,
     BeginResult,
     Environment,
     Parts,
-    Permit,
     PipelineSettings,
     RequestPipeline,
     RetryDecision,
