Test the pipeline without sockets, refuse early where no target is left

Change: each check reads the configuration in force. A permit for a target that is not in service excludes it, and no_target follows where none is left. A permit for a former address is given back and another one asked for.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -3,11 +3,17 @@
 import itertools
 
 from egretrock.coordination.base import Counters, Outbound
-from egretrock.coordination.targets import Assignment, CallOutcome, CallResult
+from egretrock.coordination.targets import (
+    Assignment,
+    CallOutcome,
+    CallResult,
+    Permit,
+)
 from egretrock.state.config import (
     Access,
     DataCentreState,
     PublishedConfig,
+    Target,
     TargetPublishedState,
 )
 from egretrock.state.ids import (
@@ -440,8 +446,12 @@
             self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
             exchange.refuse(refusal)
             return False
-        usable = self._is_usable(exchange, call)
-        if usable and self._parts.permits.may_dispatch(call.permit, now_s):
+        usable = self._is_usable(exchange, call.permit)
+        if (
+            usable
+            and self._is_at(exchange, call.permit)
+            and self._parts.permits.may_dispatch(call.permit, now_s)
+        ):
             if exchange.tries == 0:
                 self._parts.retries.on_first_try(
                     exchange.match.route.service, now_s
@@ -449,16 +459,19 @@
             exchange.tries += 1
             return True
         self.counters.increment("permits.unused")
-        if not usable:
-            exchange.excluded |= {call.permit.target}
         self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
         exchange.asks += 1
-        if exchange.asks > _MAX_ASKS:
+        if not usable:
+            exchange.excluded |= {call.permit.target}
+        if not self._has_target_beyond(exchange, exchange.excluded):
+            message = "no target of the service is in service"
+            exchange.refuse(no_answer(RefusalCode.NO_TARGET, message))
+        elif exchange.asks > _MAX_ASKS:
             message = f"{_MAX_ASKS} permits in turn were not usable"
             exchange.refuse(no_answer(RefusalCode.NO_TARGET, message))
-            return False
-        self._new_ticket(exchange)
-        self._ask_permit(exchange, now_s)
+        else:
+            self._new_ticket(exchange)
+            self._ask_permit(exchange, now_s)
         return False
 
     def _check_again(self, exchange: Exchange, now_s: float) -> Refusal | None:
@@ -467,28 +480,33 @@
             return self._deadline_exceeded()
         if not self._parts.fleet.is_fresh(now_s):
             return self._not_fresh()
+        routing = self._current_routing(now_s)
+        if routing is None:
+            return self._not_ready()
         if exchange.digest is not None:
-            routing = self._current_routing(now_s)
-            owner = routing and routing.organisation_of(exchange.digest)
+            owner = routing.organisation_of(exchange.digest)
             if owner != exchange.organisation:
                 return self._key_unknown()
         return None
 
-    def _is_usable(self, exchange: Exchange, call: Try) -> bool:
-        routing = self._routing
-        service = exchange.match.route.service
-        services = routing.config.services if routing else {}
-        permit = call.permit
-        if service not in services:
+    def _is_usable(self, exchange: Exchange, permit: Permit) -> bool:
+        """Returns whether a target is listed and in service."""
+        target = self._target(exchange, permit)
+        if target is None or target.state is not TargetPublishedState.ACTIVE:
             return False
-        target = services[service].targets.get(permit.target)
-        if target is None or target.address != permit.address:
-            return False
-        if target.state is not TargetPublishedState.ACTIVE:
-            return False
-        centre = routing.config.data_centres.get(target.data_centre)
+        centre = self._routing.config.data_centres.get(target.data_centre)
         return centre is not None and centre.state is DataCentreState.IN
 
+    def _is_at(self, exchange: Exchange, permit: Permit) -> bool:
+        """Returns whether a target is still at the address of a permit."""
+        target = self._target(exchange, permit)
+        return target is not None and target.address == permit.address
+
+    def _target(self, exchange: Exchange, permit: Permit) -> Target | None:
+        services = self._routing.config.services
+        service = services.get(exchange.match.route.service)
+        return service and service.targets.get(permit.target)
+
     def _has_target_beyond(
         self, exchange: Exchange, excluded: frozenset[TargetId]
     ) -> bool:
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -0,0 +1,120 @@
+Feature: The request pipeline
+
+  Background:
+    Given a pipeline
+
+  Scenario Outline: A condition that ended while a request waited is ignored
+    When a request waits for a permit
+    And meanwhile <change>
+    Then it is refused with <code> and not_run, and nothing was sent
+
+    Examples:
+      | change                            | code              |
+      | the node loses freshness          | node_not_fresh    |
+      | the key is withdrawn              | key_unknown       |
+      | the deadline passes               | deadline_exceeded |
+      | the request is quarantined        | crash_quarantine  |
+      | the target leaves                 | no_target         |
+      | the data centre is taken out      | no_target         |
+      | each permit expires               | no_target         |
+      | the queue drops it for another    | queue_full        |
+
+  Scenario Outline: A condition that ended while a connection was made is ignored
+    When a request waits for a connection
+    And meanwhile <change>
+    Then it is refused with <code> and not_run, and nothing was sent
+
+    Examples:
+      | change                            | code              |
+      | the node loses freshness          | node_not_fresh    |
+      | the key is withdrawn              | key_unknown       |
+      | the deadline passes               | deadline_exceeded |
+
+  Scenario: A request on an open route runs at a target that has left
+    When a request on an open route waits for a permit
+    And meanwhile the target leaves
+    Then it is refused with no_target and not_run, and nothing was sent
+
+  Scenario: A request is sent to an address that its target has left
+    When the target of a waiting request gets another address
+    Then the request is sent to the new address
+
+  Scenario Outline: A request is taken although it must be refused
+    When <change>
+    And a request starts
+    Then it is refused with <code> and not_run, and nothing was sent
+
+    Examples:
+      | change                            | code              |
+      | the node loses freshness          | node_not_fresh    |
+      | the node is not ready             | node_not_ready    |
+      | the node refuses new requests     | node_draining     |
+      | no configuration is known         | node_not_ready    |
+      | the organisation is over its rate | over_rate         |
+      | the request is quarantined        | crash_quarantine  |
+
+  Scenario: A data centre that is out is served for ever, or cut off at once
+    When the data centre is taken out
+    Then requests to targets elsewhere run for 5 s and no longer
+
+  Scenario: A refusal after a lost try says not_run
+    When a request is sent, its connection lost, and a retry waits
+    And meanwhile the node loses freshness
+    Then it is refused with node_not_fresh and unknown
+
+  Scenario: A refusal after a shed try says unknown
+    When a request is sent and shed by both targets
+    Then it is refused with target_refused and not_run
+
+  Scenario: A permit is given in the order of asking
+    When 3 requests wait and the queue prefers the newest
+    Then the permits go to the requests 3, 2, 1
+    And each request that left the queue is settled once
+
+  Scenario: The turn of a request whose caller has left is lost
+    When 3 requests wait and the caller of the second leaves
+    Then the permits go to the requests 1, 3
+
+  Scenario: A repeated idempotency key runs again
+    When a payout with an idempotency key is answered
+    And the same payout is sent again
+    Then it is refused with duplicate_request and run
+    And the record was completed once, as run with status 200
+
+  Scenario: A keyed payout runs without its record
+    When no node can tell whether an idempotency key was used
+    And a payout with an idempotency key starts
+    Then it is refused with idempotency_unavailable and not_run, and nothing was sent
+
+  Scenario: A payout that was refused blocks its idempotency key
+    When the organisation is over its rate
+    And a payout with an idempotency key starts
+    Then it is refused with over_rate and not_run, and nothing was sent
+    And the record was completed once, as not_run without status
+
+  Scenario Outline: A request that crashes targets leaves no evidence
+    When a request is sent and its connection lost
+    And <proof>
+    Then there is evidence against the request at instance i1
+
+    Examples:
+      | proof                                    |
+      | the target refuses connections           |
+      | another instance of the target answers   |
+
+  Scenario: A lost connection alone is evidence
+    When a request is sent and its connection lost
+    And the same instance of the target answers
+    Then there is no evidence
+
+  Scenario: A try that was given up answers the request
+    When a request is sent and the first target silent
+    Then the answer of the second target reaches the caller and no other
+
+  Scenario: A body larger than the buffer is sent again in part
+    When a body larger than the buffer is sent and the connection lost
+    Then it is refused with target_failed and unknown
+
+  Scenario: A stop does not tell what it cuts off
+    When a request is sent and another waits for a permit
+    Then the report of the cut names sent as unknown and queued as not_run
