--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_documents.py
@@ -0,0 +1,159 @@
+"""Published documents from node to node, over HTTP."""
+
+from collections.abc import Callable
+from types import TracebackType
+from typing import Any
+
+import logbook
+from twisted.internet import defer, interfaces
+from twisted.web import resource, server
+
+from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.fleet import DocumentName, DocumentSource, Fleet
+from egretrock.state.ids import NodeId, Revision
+from egretrock_node.transport._http_fetch import (
+    HttpAnswer,
+    HttpFetcher,
+    HttpFetchError,
+)
+
+_log = logbook.Logger("egretrock.documents")
+_FETCH_TIMEOUT_S = 3.0
+_REVISION_HEADER = b"revision"
+
+
+class _DocumentPage(resource.Resource):
+    """One document as this node has it."""
+
+    isLeaf = True  # noqa: N815 - the name twisted.web reads
+
+    def __init__(self, fleet: Fleet, name: DocumentName) -> None:
+        super().__init__()
+        self._fleet = fleet
+        self._name = name
+
+    def render_GET(self, request: server.Request) -> bytes:  # noqa: N802
+        document = self._fleet.document(self._name)
+        if document is None:
+            request.setResponseCode(404)
+            return b""
+        request.setHeader(b"content-type", b"application/json")
+        request.setHeader(_REVISION_HEADER, b"%d" % document.revision)
+        return document.value
+
+
+class DocumentExchange:
+    """Serves this node's documents and fetches newer ones from peers.
+
+    Args:
+        reactor: Twisted reactor.
+        address: ``"ip:port"`` to listen on.
+        fleet: Holds the documents and says which to fetch.
+        send: Sends messages to other nodes.
+        clock: Seconds of the node's monotonic clock.
+        counters: Counters of the node.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        address: str,
+        fleet: Fleet,
+        send: Callable[[list[Outbound]], None],
+        clock: Callable[[], float],
+        counters: Counters,
+    ) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._fleet = fleet
+        self._send = send
+        self._clock = clock
+        self._counters = counters
+        self._fetcher = HttpFetcher(reactor)
+        self._is_fetching = False
+        self._port: interfaces.IListeningPort | None = None
+
+    def start(self) -> None:
+        """Starts to serve documents."""
+        documents = resource.Resource()
+        for name in DocumentName:
+            page = _DocumentPage(self._fleet, name)
+            documents.putChild(name.value.encode(), page)
+        root = resource.Resource()
+        root.putChild(b"documents", documents)
+        site = server.Site(root)
+        site.noisy = False
+        site.log = lambda request: None
+        host, _, port = self._address.rpartition(":")
+        self._port = self._reactor.listenTCP(
+            int(port), site, interface=host.strip("[]")
+        )
+
+    def close(self) -> defer.Deferred[Any]:
+        """Stops serving and closes connections to peers."""
+        port, self._port = self._port, None
+        closed = [defer.maybeDeferred(self._fetcher.close)]
+        if port is not None:
+            closed.append(defer.maybeDeferred(port.stopListening))
+        return defer.DeferredList(closed, consumeErrors=True)
+
+    def __enter__(self) -> "DocumentExchange":
+        """Starts to serve documents."""
+        self.start()
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        """Stops serving."""
+        self.close()
+
+    def on_tick(self, now_s: float) -> None:
+        """Fetches a wanted document; at most one fetch runs at a time."""
+        del now_s
+        if self._is_fetching:
+            return
+        wanted = self._fleet.wanted_document()
+        if wanted is None:
+            return
+        node, name = wanted
+        self._is_fetching = True
+        self._counters.increment("documents.fetches")
+        url = f"http://{node}/documents/{name.value}"
+        fetched = self._fetcher.get(url, _FETCH_TIMEOUT_S)
+        fetched.addCallback(self._on_answer, name, node)
+        fetched.addErrback(self._on_failure, node)
+        fetched.addBoth(self._on_end)
+
+    def _on_answer(
+        self, answer: HttpAnswer, name: DocumentName, node: NodeId
+    ) -> None:
+        text = answer.headers.get(_REVISION_HEADER.decode(), "")
+        if answer.status != 200 or not (text.isascii() and text.isdigit()):
+            raise HttpFetchError(f"status {answer.status}, revision {text!r}")
+        now_s = self._clock()
+        self._send(
+            self._fleet.on_document(
+                name,
+                Revision(int(text)),
+                answer.body,
+                now_s,
+                now_s,
+                DocumentSource.PEER,
+            )
+        )
+
+    def _on_failure(self, failure: Any, node: NodeId) -> None:
+        failure.trap(HttpFetchError)
+        self._counters.increment("documents.fetch_failures")
+        _log.info(
+            "document not fetched",
+            extra={"peer": node, "reason": str(failure.value)},
+        )
+
+    def _on_end(self, result: Any) -> Any:
+        self._is_fetching = False
+        return result
