Record each request of a generator; add the steps of fault scenarios

Cause: verdicts of fault scenarios compare what callers saw with what targets ran, request by request.

--- a/packages/egretrock-standins/src/egretrock_standins/fleet_runner/_client.py
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/_client.py
@@ -41,7 +41,21 @@
             OSError: The connection failed.
             http.client.HTTPException: The answer was broken or cut off.
         """
+        self.start(method, path, headers, body)
+        return self.read()
+
+    def start(
+        self,
+        method: str,
+        path: str,
+        headers: dict[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> None:
+        """Sends a request without waiting for its answer."""
         self._http.request(method, path, body=body, headers=headers or {})
+
+    def read(self) -> Answer:
+        """Reads the answer of the request that was started."""
         response = self._http.getresponse()
         fields = {name.lower(): v for name, v in response.getheaders()}
         return Answer(response.status, fields, response.read())
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/tests/steps/fault_steps.py
@@ -0,0 +1,332 @@
+"""Verdicts come from the callers' records and the targets' histories."""
+
+import collections
+import http.client
+import signal
+import time
+
+from behave import given, step, then, when
+
+from egretrock_standins.fleet_runner import Connection, key_digest
+from egretrock_standins.load import (
+    Caller,
+    Generators,
+    LoadSpec,
+    Mode,
+    RequestKind,
+)
+
+REQUESTS_PER_S = 60
+#: Longer than any deadline, so that a request that is never answered shows.
+TIMEOUT_S = 20
+
+
+@given("a running fleet")
+def step_fleet(context):
+    context.fleet = context.fleets.pop(0).result(120)
+    context.add_cleanup(context.fleet.__exit__, None, None, None)
+
+
+@given("a running fleet and an open connection of birch to each node")
+def step_fleet_connections(context):
+    step_fleet(context)
+    context.connections = {}
+    for node in context.fleet.nodes:
+        connection = Connection(node.caller_address, TIMEOUT_S)
+        context.add_cleanup(connection.close)
+        answer = connection.send("GET", "/records/open", birch(context))
+        assert answer.status == 200, answer
+        context.connections[node.name] = connection
+
+
+def birch(context):
+    return {"Authorization": f"Bearer {context.fleet.keys['birch']}"}
+
+
+def find_node(context, name):
+    return next(node for node in context.fleet.nodes if node.name == name)
+
+
+@given("{share:d} of 10 platform reads come from the replica of this moment")
+def step_stale(context, share):
+    fleet = context.fleet
+    revisions = fleet.platform_control("GET", "/documents")
+    stale = {"share": share / 10, "revisions": revisions}
+    fleet.platform_control("PUT", "/stale", stale)
+
+
+@when("load runs for {duration_s:d} s")
+def step_load(context, duration_s):
+    kinds = [
+        RequestKind("GET", "/records", 0.6),
+        RequestKind("POST", "/payouts", 0.4, 100),
+    ]
+    callers = [
+        Caller(name=o, key=key, requests=kinds, rate_per_s=REQUESTS_PER_S / 2)
+        for o, key in context.fleet.keys.items()
+    ]
+    addresses = [node.caller_address for node in context.fleet.nodes]
+    spec = LoadSpec(
+        addresses=addresses,
+        callers=callers,
+        mode=Mode.OPEN,
+        duration_s=duration_s,
+        timeout_s=TIMEOUT_S,
+        seed=3,
+        record_requests=True,
+    )
+    context.generators = Generators([spec])
+    context.add_cleanup(context.generators.__exit__, None, None, None)
+
+
+@when("after {delay_s:d} s {event}")
+def step_after(context, delay_s, event):
+    at_s = context.generators.start_at_s + delay_s
+    time.sleep(max(0, at_s - time.monotonic()))
+    context.execute_steps(f"When {event}")
+
+
+@when("the load has ended")
+def step_load_ended(context):
+    context.requests = context.generators.results().requests
+    context.ran = collections.Counter(r.uri for r in context.fleet.history())
+    assert any(r.outcome == "ok" for r in context.requests)
+
+
+@when("{name:w} gets {signal_name:w}")
+def step_signal(context, name, signal_name):
+    number = signal.Signals[signal_name]
+    find_node(context, name).process.send_signal(number)
+    context.event_s = time.monotonic()
+
+
+@when("birch's key is withdrawn")
+def step_withdraw(context):
+    digest = key_digest(context.fleet.keys["birch"])
+    context.fleet.publish_config(lambda config: config["keys"].pop(digest))
+    context.event_s = time.monotonic()
+
+
+@when("the platform refuses connections")
+def step_platform_down(context):
+    context.fleet.platform_control("PUT", "/mode", "refuse")
+    context.event_s = time.monotonic()
+
+
+@when("data centre {name} is {state}")
+def step_data_centre(context, name, state):
+    context.fleet.publish_config(
+        lambda config: config["data_centres"][name].update(state=state)
+    )
+    context.event_s = time.monotonic()
+
+
+@when("{duration_s:d} s pass")
+def step_pass(context, duration_s):
+    time.sleep(duration_s)
+
+
+@when("birch sends a request on its open connection to {name}")
+def step_send(context, name):
+    # The bytes wait in the socket buffer of the stopped process.
+    context.waiting = context.connections[name]
+    context.waiting.start("GET", "/records/late", birch(context))
+
+
+@then("the request is refused as not run")
+def step_refused(context):
+    try:
+        answer = context.waiting.read()
+    except (ConnectionError, http.client.HTTPException):
+        # A node may close the connection; the history shows the rest.
+        return
+    assert answer.status != 200, answer
+    assert answer.json()["run_state"] == "not_run", answer
+
+
+@then("no request sent by birch after the withdrawal ran")
+def step_late(context):
+    runs = [r for r in context.fleet.history() if r.uri == "/records/late"]
+    assert not runs, runs
+
+
+@then("within {limit_s:d} s {name} answers alder")
+def step_answers(context, limit_s, name):
+    node, key = find_node(context, name), context.fleet.keys["alder"]
+    deadline_s = time.monotonic() + limit_s
+    while (answer := node.call("GET", "/records/again", key)).status != 200:
+        assert time.monotonic() < deadline_s, answer
+        time.sleep(0.1)
+
+
+def too_late(context, request, extra_s=1):
+    limit_s = context.event_s + context.fleet.plan.freshness_s + extra_s
+    return request.intended_s > limit_s
+
+
+@then("no request of birch sent later than freshness_s and 1 s ran")
+def step_withdrawn(context):
+    late = [
+        request
+        for request in context.requests
+        if request.caller == "birch" and too_late(context, request)
+    ]
+    assert late, "no request was sent late enough to tell"
+    ran = [r for r in late if context.ran[r.path] or r.outcome == "ok"]
+    assert not ran, ran
+
+
+@then("each open connection of birch gets key_unknown, and nothing ran")
+def step_open_connections(context):
+    for connection in context.connections.values():
+        answer = connection.send("GET", "/records/withdrawn", birch(context))
+        assert answer.json()["code"] == "key_unknown", answer
+    ran = [r.uri for r in context.fleet.history()]
+    assert "/records/withdrawn" not in ran
+
+
+@then("every request of {name} was answered")
+def step_caller_answered(context, name):
+    assert_ok([r for r in context.requests if r.caller == name])
+
+
+@then("every request was answered")
+def step_answered(context):
+    assert_ok(context.requests)
+
+
+@then("every request to {first} and {second} was answered")
+def step_nodes_answered(context, first, second):
+    nodes = (find_node(context, name) for name in (first, second))
+    addresses = {node.caller_address for node in nodes}
+    assert_ok([r for r in context.requests if r.address in addresses])
+
+
+def assert_ok(requests):
+    outcomes = collections.Counter(request.outcome for request in requests)
+    assert set(outcomes) == {"ok"}, outcomes
+
+
+@then("every answer was whole and belonged to its request")
+def step_whole(context):
+    outcomes = collections.Counter(r.outcome for r in context.requests)
+    for outcome in outcomes:
+        kind, _, detail = outcome.partition(":")
+        assert kind in ("ok", "refused", "error"), outcomes
+        assert detail != "framing", outcomes
+
+
+@then("only requests to {name} were cut off")
+def step_cut(context, name):
+    address = find_node(context, name).caller_address
+    cut = [r for r in context.requests if r.outcome.startswith("error")]
+    assert cut, "the signal came too late to tell"
+    others = [r for r in cut if r.address != address]
+    assert not others, others
+
+
+@then("every non-idempotent request ran at most once")
+def step_once(context):
+    posts = [r.path for r in context.requests if r.method == "POST"]
+    assert any(context.ran[path] for path in posts)
+    twice = [path for path in posts if context.ran[path] > 1]
+    assert not twice, twice
+
+
+@then("every request that was refused as not run did not run")
+def step_not_run(context):
+    refused = [r for r in context.requests if r.outcome.endswith(":not_run")]
+    false = [request for request in refused if context.ran[request.path]]
+    assert not false, false
+
+
+@then("{first} and {second} answered requests after the signal")
+def step_after_signal(context, first, second):
+    for name in (first, second):
+        address = find_node(context, name).caller_address
+        assert any(
+            request.outcome == "ok" and request.intended_s > context.event_s
+            for request in context.requests
+            if request.address == address
+        ), name
+
+
+@then("every request that ran was answered")
+def step_ran_answered(context):
+    cut = [r for r in context.requests if r.outcome != "ok"]
+    cut = [request for request in cut if context.ran[request.path]]
+    assert not cut, cut
+    ends = collections.Counter(r.end for r in context.fleet.history())
+    assert set(ends) == {"answered"}, ends
+
+
+@then("{name} ended with exit code {code:d}")
+def step_exit(context, name, code):
+    assert find_node(context, name).process.wait(30) == code
+
+
+@step("no request sent later than freshness_s and 1 s ran in {data_centre}")
+def step_out(context, data_centre):
+    targets = targets_in(context, data_centre)
+    ran = {r.uri for r in context.fleet.history() if r.target_id in targets}
+    assert ran, f"{data_centre} got no work before"
+    late = [r for r in context.requests if too_late(context, r)]
+    assert any(request.outcome == "ok" for request in late)
+    wrong = [request for request in late if request.path in ran]
+    assert not wrong, wrong
+
+
+def targets_in(context, data_centre):
+    return {
+        target.options.target_id
+        for target in context.fleet.plan.targets
+        if target.data_centre == data_centre
+    }
+
+
+@then("{name} ends up refusing with data_centre_out")
+def step_out_refused(context, name):
+    address = find_node(context, name).caller_address
+    # A node in the data centre serves for 5 s after it has learned of it.
+    last = [
+        request.outcome
+        for request in context.requests
+        if request.address == address and too_late(context, request, 6)
+    ]
+    assert set(last) == {"refused:data_centre_out:not_run"}, last
+
+
+@then("within {limit_s:d} s a target in {data_centre} runs a request")
+def step_back(context, limit_s, data_centre):
+    targets, key = targets_in(context, data_centre), context.fleet.keys["alder"]
+    deadline_s = time.monotonic() + limit_s
+    while True:
+        answer = context.fleet.nodes[0].call("GET", "/records/back", key)
+        if answer.status == 200 and answer.json()["target"] in targets:
+            return
+        assert time.monotonic() < deadline_s, answer
+
+
+@when("{name:w} sends the request {path} {count:d} times in a row")
+def step_repeat(context, name, path, count):
+    context.path, context.codes = path, []
+    key = context.fleet.keys[name]
+    for number in range(count):
+        node = context.fleet.nodes[number % len(context.fleet.nodes)]
+        answer = node.call("GET", path, key, timeout_s=TIMEOUT_S)
+        context.codes.append(answer.json()["code"])
+        # Long enough for evidence to reach the other nodes, and for the
+        # target to refuse connections, which is a part of the evidence.
+        time.sleep(0.5)
+
+
+@then("it crashed at most {count:d} targets")
+def step_crashed(context, count):
+    runs = [r for r in context.fleet.history() if r.uri == context.path]
+    assert runs and all(run.end == "crashed" for run in runs), runs
+    assert len(runs) <= count, [run.target_id for run in runs]
+
+
+@then("it ends up refused with {code}")
+def step_code(context, code):
+    assert context.codes[-1] == code, context.codes
--- a/packages/egretrock-standins/src/egretrock_standins/load/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/__init__.py
@@ -4,6 +4,7 @@
 from egretrock_standins.load._results import (
     CallerResult,
     LoadResult,
+    RequestRecord,
     merge_results,
 )
 from egretrock_standins.load._run import run_load
@@ -17,6 +18,7 @@
     "LoadSpec",
     "Mode",
     "RequestKind",
+    "RequestRecord",
     "merge_results",
     "run_generators",
     "run_load",
--- a/packages/egretrock-standins/src/egretrock_standins/load/_connection.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/_connection.py
@@ -74,7 +74,8 @@
     def _outcome(self, status: int, body: bytes) -> str:
         if status == 200:
             # The stand-in target repeats the nonce of the request it ran.
-            return "ok" if self._nonce in body else "mismatch"
+            expected = b'"nonce":"' + self._nonce + b'"'
+            return "ok" if expected in body else "mismatch"
         try:
             refusal = json.loads(body)
             return f"refused:{refusal['code']}:{refusal['run_state']}"
--- a/packages/egretrock-standins/src/egretrock_standins/load/_results.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/_results.py
@@ -56,6 +56,26 @@
         return max(0, over - self.beyond_rate)
 
 
+class RequestRecord(msgspec.Struct, array_like=True):
+    """One request as its caller saw it.
+
+    Attributes:
+        caller: Name of the caller.
+        address: Server that it was sent to.
+        method: Method.
+        path: Path, which no other request has.
+        intended_s: Intended time of the system's monotonic clock.
+        outcome: Outcome as in ``CallerResult``.
+    """
+
+    caller: str
+    address: str
+    method: str
+    path: str
+    intended_s: float
+    outcome: str
+
+
 class LoadResult(msgspec.Struct):
     """Results of all callers.
 
@@ -64,11 +84,13 @@
         callers: Results by caller name.
         late_us: The 99th percentile of how late the generator itself sent,
             in microseconds; a large value means the generator is the limit.
+        requests: Each request, if the specification asked for it.
     """
 
     elapsed_s: float
     callers: dict[str, CallerResult]
     late_us: int = 0
+    requests: list[RequestRecord] = []
 
     def histogram(self) -> HdrHistogram:
         """Returns the latencies of all callers."""
@@ -156,4 +178,5 @@
         elapsed_s=max(result.elapsed_s for result in results),
         callers=merged,
         late_us=max(result.late_us for result in results),
+        requests=[r for result in results for r in result.requests],
     )
--- a/packages/egretrock-standins/src/egretrock_standins/load/_run.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/_run.py
@@ -11,6 +11,7 @@
 from egretrock_standins.load._results import (
     LoadResult,
     Recorder,
+    RequestRecord,
     new_histogram,
 )
 from egretrock_standins.load._spec import LoadSpec, Mode, RequestKind
@@ -41,6 +42,7 @@
         self._late = new_histogram()
         self._prefix = f"{self._rng.getrandbits(48):012x}"
         self._last_s = 0.0
+        self._requests: list[RequestRecord] = []
 
     def start(self) -> None:
         """Starts sending."""
@@ -86,15 +88,24 @@
         (caller,) = self._rng.choices(spec.callers, self._weights)
         weights = [kind.weight for kind in caller.requests]
         (kind,) = self._rng.choices(caller.requests, weights)
-        pool = self._pools[self._sent % len(self._pools)]
+        place = self._sent % len(self._pools)
         self._sent += 1
         self._pending += 1
         self._recorders[caller.name].arrive(intended_s)
-        nonce = f"{self._prefix}-{self._sent}".encode()
+        nonce = f"{self._prefix}-{self._sent}"
+        path = f"{kind.path.rstrip('/')}/{nonce}"
 
         def done(outcome: str) -> None:
             latency_s = self._now_s() - intended_s
             self._recorders[caller.name].add(outcome, intended_s, latency_s)
+            if spec.record_requests:
+                at_s = self._start_s + intended_s
+                address = spec.addresses[place]
+                self._requests.append(
+                    RequestRecord(
+                        caller.name, address, kind.method, path, at_s, outcome
+                    )
+                )
             self._pending -= 1
             self._last_s = self._now_s()
             if spec.mode is Mode.CLOSED:
@@ -103,8 +114,9 @@
             else:
                 self._check_end()
 
-        request = _request(caller.key, kind, self._sent, nonce)
-        pool.send(request, nonce, spec.timeout_s, done)
+        request = _request(caller.key, kind, path, nonce)
+        pool = self._pools[place]
+        pool.send(request, nonce.encode(), spec.timeout_s, done)
 
     def _end_sending(self) -> None:
         self._finished_sending = True
@@ -115,14 +127,16 @@
             self._pending = -1
             callers = {n: r.result() for n, r in self._recorders.items()}
             late_us = self._late.get_value_at_percentile(99)
-            self._on_end(LoadResult(self._last_s, callers, late_us))
+            self._on_end(
+                LoadResult(self._last_s, callers, late_us, self._requests)
+            )
 
 
-def _request(key: str, kind: RequestKind, number: int, nonce: bytes) -> bytes:
+def _request(key: str, kind: RequestKind, path: str, nonce: str) -> bytes:
     lines = [
-        f"{kind.method} {kind.path.rstrip('/')}/{number} HTTP/1.1",
+        f"{kind.method} {path} HTTP/1.1",
         "Host: load",
-        f"X-Nonce: {nonce.decode()}",
+        f"X-Nonce: {nonce}",
     ]
     if key:
         lines.append(f"Authorization: Bearer {key}")
--- a/packages/egretrock-standins/src/egretrock_standins/load/_spec.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/_spec.py
@@ -26,7 +26,7 @@
 
     Attributes:
         method: Method.
-        path: Path; a running number is added after a slash.
+        path: Path; the request's nonce is added after a slash.
         weight: Share of the caller's requests.
         body_bytes: Size of the request's body.
     """
@@ -79,6 +79,7 @@
         start_at_s: Time of the monotonic clock at which the run starts, for
             several generators that start together; None for at once.
         seed: Seed of arrival times and choices.
+        record_requests: Whether the result lists each request.
     """
 
     addresses: list[str]
@@ -91,3 +92,4 @@
     timeout_s: PositiveFloat = 10.0
     start_at_s: float | None = None
     seed: int = 0
+    record_requests: bool = False
