--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -1,5 +1,24 @@
-"""Virtual time and a lossy message queue for tests of coordination parts."""
+"""Virtual time, a lossy network and virtual targets for tests."""
 
+from egretrock_standins.virtual._fleet import (
+    PlatformView,
+    VirtualFleet,
+    VirtualProcess,
+)
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
+from egretrock_standins.virtual._targets import (
+    VirtualNode,
+    VirtualTarget,
+    VirtualWorld,
+)
 
-__all__ = ["Faults", "VirtualNetwork"]
+__all__ = [
+    "Faults",
+    "PlatformView",
+    "VirtualFleet",
+    "VirtualNetwork",
+    "VirtualNode",
+    "VirtualProcess",
+    "VirtualTarget",
+    "VirtualWorld",
+]
