Add the rate limiter: leased shares, grants and waiting admissions

Change: egretrock.coordination.limits with a token pool that cuts its minting at the end of leases and grants, loans of idle shares with the tokens on them, grants that report what is still held, early return of shares, and requests that may wait for a grant. A scripted fleet and an experiment in virtual time compare it with static shares and one owner.

--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/__init__.py
@@ -0,0 +1,34 @@
+"""Rates and bursts: leased shares and grants.
+
+Each node owns a share of every organisation's rate. Nodes that do not need
+theirs lease them to the organisation's home, which grants the minted tokens
+to the nodes that do. See ``docs/decisions/rate-limits.md``.
+"""
+
+from egretrock.coordination.limits._limiter import HOME_KIND, RateLimiter
+from egretrock.coordination.limits._messages import (
+    Ask,
+    AskEntry,
+    Busy,
+    Grant,
+    Lease,
+    Release,
+    TokenEntry,
+)
+from egretrock.coordination.limits._settings import LimitSettings
+from egretrock.coordination.limits._view import FleetView, LimitsInForce
+
+__all__ = [
+    "HOME_KIND",
+    "Ask",
+    "AskEntry",
+    "Busy",
+    "FleetView",
+    "Grant",
+    "Lease",
+    "LimitSettings",
+    "LimitsInForce",
+    "RateLimiter",
+    "Release",
+    "TokenEntry",
+]
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_limiter.py
@@ -0,0 +1,684 @@
+"""The rate limiter of a node."""
+
+import functools
+import math
+import random
+from collections.abc import Iterable, Iterator
+
+import msgspec
+from expression import Error, Ok, Result
+
+from egretrock.coordination.base import (
+    Counters,
+    Message,
+    NullCounters,
+    Outbound,
+    Peer,
+    rendezvous_first,
+)
+from egretrock.coordination.limits._messages import (
+    Ask,
+    AskEntry,
+    Busy,
+    Grant,
+    Lease,
+    Release,
+    TokenEntry,
+)
+from egretrock.coordination.limits._organisation import OrganisationState
+from egretrock.coordination.limits._pool import HeldLease, PoolSize
+from egretrock.coordination.limits._settings import LimitSettings
+from egretrock.coordination.limits._view import ConfigInForce, FleetView
+from egretrock.state.ids import NodeId, OrganisationId
+from egretrock.state.outcome import Refusal, RefusalCode, RunState
+
+HOME_KIND = "organisation"
+#: Seconds between two advances of an idle organisation's pool.
+SWEEP_S = 1.0
+#: Bytes of an entry beside the organisation's id: numbers and punctuation.
+ENTRY_BYTES = 56
+
+
+class _HomeLink:
+    """Asks to one node: at most one waits for its answer."""
+
+    def __init__(self) -> None:
+        self.number = 0
+        self.sent_s = -math.inf
+        self.wanted: dict[OrganisationId, int] = {}
+        self.waiting = False
+        self.failures = 0
+        self.suspect_until_s = -math.inf
+
+    def is_waiting(self, now_s: float, timeout_s: float) -> bool:
+        """Whether the answer may still come in time."""
+        return self.waiting and now_s - self.sent_s < timeout_s
+
+    def heard(self) -> None:
+        """Notes a sign of life."""
+        self.failures = 0
+        self.suspect_until_s = -math.inf
+
+
+class _HeldAsk(msgspec.Struct, frozen=True):
+    """An ask whose answer waits for the first leases."""
+
+    ask: Ask
+    received_s: float
+
+
+class _Asker:
+    """What a home remembers of an asking process."""
+
+    def __init__(self, now_s: float) -> None:
+        self.last_number = 0
+        self.heard_s = now_s
+        self.held: _HeldAsk | None = None
+
+
+class RateLimiter:
+    """Admits requests so that no organisation exceeds its rate and burst.
+
+    Over all nodes and every window of t seconds, the admitted requests of an
+    organisation are at most rate x t + burst. The bound does not depend on
+    any agreement between nodes, only on clock rates within 1% of each other
+    and on the rule that a larger limit is used late (see ``FleetView``).
+
+    A node spends tokens of its own share, or tokens granted by the home of
+    the organisation. The home mints on shares that idle nodes lease to it.
+
+    A request that finds no token may wait: ``wait_until_s`` says until when.
+    The caller sends what ``flush`` returns, and calls ``admit`` again with
+    ``again=True`` after each message of this part and at the time given.
+
+    Args:
+        peer: This node and the incarnation of this process.
+        fleet: Membership, freshness and limits in force.
+        rng: Source of jitter.
+        start_s: Start of the process.
+        settings: Constants; equal on all nodes.
+        counters: Where events are counted.
+    """
+
+    def __init__(
+        self,
+        peer: Peer,
+        fleet: FleetView,
+        rng: random.Random,
+        start_s: float,
+        settings: LimitSettings | None = None,
+        counters: Counters | None = None,
+    ) -> None:
+        self._peer = peer
+        self._fleet = fleet
+        self._rng = rng
+        self._settings = settings or LimitSettings()
+        self._counters = counters or NullCounters()
+        wait_s = self._settings.handover_s * self._settings.clock_margin
+        #: The predecessor's leases and grants have ended from here on.
+        self._mint_from_s = start_s + wait_s
+        self._states: dict[OrganisationId, OrganisationState] = {}
+        self._active: set[OrganisationId] = set()
+        self._seen_config: ConfigInForce | None = None
+        self._links: dict[NodeId, _HomeLink] = {}
+        self._askers: dict[Peer, _Asker] = {}
+        self._ask_number = 0
+        self._busy_number = 0
+        self._busy_sent_s: dict[int, float] = {}
+        self._lease_number = 0
+        self._next_sweep_s = start_s
+        self._stopped = False
+
+    # The request path.
+
+    def is_ready(self, now_s: float) -> bool:
+        """Whether the restart wait is over; a node is not ready before."""
+        return now_s >= self._mint_from_s and not self._stopped
+
+    def admit(
+        self, organisation: OrganisationId, now_s: float, again: bool = False
+    ) -> Result[None, Refusal]:
+        """Takes a token for one request.
+
+        Args:
+            organisation: Whose request it is.
+            now_s: Current time, read for this call.
+            again: Whether this request was refused before and has waited.
+
+        Returns:
+            Ok, or a refusal with ``node_not_fresh`` or ``over_rate``.
+        """
+        if not self._fleet.is_fresh(now_s):
+            return Error(_not_fresh())
+        state = self._state(organisation, now_s)
+        if state is None:
+            return Error(_no_limits(organisation))
+        if not again:
+            state.demand.add(now_s)
+            self._active.add(organisation)
+        if state.spend(now_s):
+            return Ok(None)
+        if not again:
+            state.add_miss(now_s)
+        return Error(self._over_rate(state, now_s))
+
+    def wait_until_s(
+        self, organisation: OrganisationId, now_s: float
+    ) -> float | None:
+        """Returns until when a refused request may wait for a token.
+
+        Returns:
+            A time at most ``wait_s`` ahead, or None where waiting is useless
+            because no answer and no further ask is due within ``wait_s``.
+        """
+        state = self._states.get(organisation)
+        if state is None or not self._fleet.is_fresh(now_s):
+            return None
+        latest_s = now_s + self._settings.wait_s
+        home = self._home(organisation, now_s)
+        if home is None:
+            return None
+        if home == self._peer.node:
+            return latest_s if state.is_acting(now_s) else None
+        link = self._links.get(home)
+        if link is None:
+            return latest_s
+        timeout_s = self._settings.ask_timeout_s
+        answer_s = link.sent_s + timeout_s
+        if link.waiting and organisation in link.wanted and answer_s > now_s:
+            return min(latest_s, answer_s)
+        if state.hold_off_until_s >= latest_s:
+            return None
+        return latest_s
+
+    def flush(
+        self, organisation: OrganisationId, now_s: float
+    ) -> list[Outbound]:
+        """Returns the asks that a refused request of this moment causes.
+
+        It costs little when nothing is due; the caller runs it after each
+        refusal.
+        """
+        state = self._states.get(organisation)
+        if state is None or not self._fleet.is_fresh(now_s):
+            return []
+        home = self._home(organisation, now_s)
+        if home is None or not state.is_asking(now_s):
+            return []
+        if home == self._peer.node:
+            state.claim_self(now_s)
+            return self._send_busy(now_s) if state.is_busy_due(now_s) else []
+        if not state.is_short(now_s):
+            return []
+        return self._ask(home, now_s)
+
+    def hand_over(self, now_s: float) -> list[Outbound]:
+        """Gives away the node's shares for good at a planned stop.
+
+        The shares leased from others return to their owners, and the own
+        share of each busy organisation goes to its home. The node can still
+        spend granted tokens.
+        """
+        self._stopped = True
+        messages = self._release(list(self._states.values()), now_s)
+        told = {message.to for message in messages}
+        askers = {asker.node for asker in self._askers} - told
+        body = Release(self._busy_number, 0.0, [], stopping=True)
+        messages += [Outbound(node, body) for node in sorted(askers)]
+        by_loan: dict[tuple[Peer, int], list[TokenEntry]] = {}
+        duration_s = self._settings.handover_lease_s
+        share = self._fleet.usable_share(now_s)
+        for state in self._states.values():
+            state.advance(self._size(state.organisation, now_s), now_s)
+            loan = state.loan
+            if loan is None or not state.is_lent(now_s):
+                continue
+            margin = self._settings.clock_margin
+            state.pool.own_from_s = now_s + duration_s * margin
+            key = (loan.home, loan.busy_number)
+            entry = TokenEntry(state.organisation, 0.0)
+            by_loan.setdefault(key, []).append(entry)
+        if share <= 0 or not self._fleet.is_fresh(now_s):
+            return messages
+        for (home, number), entries in by_loan.items():
+            messages += self._leases(home, number, share, duration_s, entries)
+        return messages
+
+    # Part.
+
+    def on_tick(self, now_s: float) -> list[Outbound]:
+        """Asks, renews leases and returns shares that are not needed."""
+        self._follow_config(now_s)
+        self._forget_idle(now_s)
+        if self._stopped or not self._fleet.is_fresh(now_s):
+            return []
+        messages: list[Outbound] = []
+        homes: set[NodeId] = set()
+        for organisation in sorted(self._active):
+            state = self._state(organisation, now_s)
+            if state is None:
+                continue
+            home = self._home(organisation, now_s)
+            if home == self._peer.node and state.is_asking(now_s):
+                state.claim_self(now_s)
+            elif home != self._peer.node and state.is_short(now_s):
+                homes.add(home)
+        homes.discard(None)
+        for home in sorted(homes):
+            messages += self._ask(home, now_s)
+        messages += self._send_busy(now_s)
+        messages += self._release_abandoned(now_s)
+        messages += self._answer_held(now_s)
+        return messages
+
+    def on_message(
+        self, sender: Peer, body: Message, now_s: float
+    ) -> list[Outbound]:
+        """Takes a message of a listed node."""
+        vms = self._fleet.vms()
+        if vms is None or sender.node not in vms.nodes:
+            self._counters.increment("limits.unlisted_sender")
+            return []
+        return self._handle(body, sender, now_s)
+
+    @functools.singledispatchmethod
+    def _handle(
+        self, body: Message, sender: Peer, now_s: float
+    ) -> list[Outbound]:
+        self._counters.increment("limits.unknown_message")
+        return []
+
+    # The asker.
+
+    def _ask(self, home: NodeId, now_s: float) -> list[Outbound]:
+        link = self._links.setdefault(home, _HomeLink())
+        timeout_s = self._settings.ask_timeout_s
+        if link.is_waiting(now_s, timeout_s):
+            return []
+        if link.waiting:
+            link.waiting = False
+            link.failures += 1
+            self._counters.increment("limits.ask_timeouts")
+            if link.failures >= self._settings.ask_failures:
+                link.failures = 0
+                link.suspect_until_s = now_s + self._settings.suspect_s
+                self._counters.increment("limits.suspected_homes")
+                return []
+        entries = self._ask_entries(home, now_s)
+        if not entries:
+            return []
+        self._ask_number += 1
+        link.number, link.sent_s, link.waiting = self._ask_number, now_s, True
+        link.wanted = {entry.organisation: entry.want for entry in entries}
+        self._counters.increment("limits.asks")
+        return [Outbound(home, Ask(link.number, entries))]
+
+    def _ask_entries(self, home: NodeId, now_s: float) -> list[AskEntry]:
+        """Entries for all organisations that need tokens of one home.
+
+        Those that miss most come first; what does not fit one message goes
+        into the next ask.
+        """
+        entries = []
+        for organisation in sorted(self._active):
+            state = self._state(organisation, now_s)
+            if state is None or self._home(organisation, now_s) != home:
+                continue
+            held_off = now_s < state.hold_off_until_s
+            if held_off or not state.is_asking(now_s):
+                continue
+            entry = state.ask_entry(home, now_s)
+            if entry is not None:
+                entries.append(entry)
+        entries.sort(key=lambda entry: -entry.want)
+        return next(self._chunks(entries), [])
+
+    @_handle.register
+    def _on_grant(
+        self, body: Grant, sender: Peer, now_s: float
+    ) -> list[Outbound]:
+        link = self._links.get(sender.node)
+        if link is None or body.asker_incarnation != self._peer.incarnation:
+            self._counters.increment("limits.stray_grants")
+            return []
+        if body.number != link.number or not link.wanted:
+            self._counters.increment("limits.stray_grants")
+            return []
+        link.heard()
+        link.waiting = False
+        wanted, link.wanted = link.wanted, {}
+        expires_s = link.sent_s + self._settings.grant_s
+        for entry in body.entries:
+            state = self._states.get(entry.organisation)
+            if state is None or entry.organisation not in wanted:
+                continue
+            if entry.tokens > 0 and expires_s > now_s:
+                state.wallet.add(sender, entry.tokens, expires_s, now_s)
+            want = wanted[entry.organisation]
+            state.on_granted(want, entry.tokens, now_s)
+        return []
+
+    # The home.
+
+    @_handle.register
+    def _on_ask(self, body: Ask, sender: Peer, now_s: float) -> list[Outbound]:
+        asker = self._askers.setdefault(sender, _Asker(now_s))
+        if body.number <= asker.last_number:
+            self._counters.increment("limits.repeated_asks")
+            return []
+        asker.last_number, asker.heard_s = body.number, now_s
+        if self._stopped:
+            body = Release(self._busy_number, 0.0, [], stopping=True)
+            return [Outbound(sender.node, body)]
+        if not self._fleet.is_fresh(now_s):
+            return []
+        for entry in body.entries:
+            state = self._state(entry.organisation, now_s)
+            if state is not None:
+                state.claim(sender, entry, now_s)
+                self._active.add(entry.organisation)
+        asker.held = _HeldAsk(body, now_s)
+        return self._send_busy(now_s) + self._answer_held(now_s)
+
+    def _answer_held(self, now_s: float) -> list[Outbound]:
+        messages = []
+        for sender, asker in self._askers.items():
+            held = asker.held
+            if held is None or self._may_gather(sender, held, now_s):
+                continue
+            asker.held = None
+            if now_s - held.received_s < self._settings.ask_timeout_s:
+                messages.append(self._grant(sender, held.ask, now_s))
+        return messages
+
+    def _may_gather(self, sender: Peer, held: _HeldAsk, now_s: float) -> bool:
+        """Whether leases on their way will make a larger grant possible."""
+        for entry in held.ask.entries:
+            state = self._states.get(entry.organisation)
+            if state is None or not state.is_gathering(now_s):
+                continue
+            if state.grantable(sender, entry.want, now_s) < entry.want:
+                return True
+        return False
+
+    def _grant(self, asker: Peer, ask: Ask, now_s: float) -> Outbound:
+        entries = []
+        for entry in ask.entries:
+            state = self._state(entry.organisation, now_s)
+            tokens = 0
+            if state is not None and entry.want > 0:
+                tokens = state.grant(asker, entry.want, now_s)
+            entries.append(TokenEntry(entry.organisation, tokens))
+        self._counters.increment("limits.grants")
+        body = Grant(ask.number, asker.incarnation, entries)
+        return Outbound(asker.node, body)
+
+    def _send_busy(self, now_s: float) -> list[Outbound]:
+        due = []
+        for organisation in sorted(self._active):
+            state = self._states.get(organisation)
+            if state is not None and state.is_busy_due(now_s):
+                # Jitter keeps the renewals of several homes apart.
+                jitter = 0.9 + 0.2 * self._rng.random()
+                state.next_busy_s = now_s + self._settings.renew_s * jitter
+                due.append(state.organisation)
+        messages = []
+        peers = sorted(self._fleet.alive_nodes(now_s) - {self._peer.node})
+        for organisations in self._chunks(due):
+            self._busy_number += 1
+            self._busy_sent_s[self._busy_number] = now_s
+            body = Busy(self._busy_number, organisations)
+            messages += [Outbound(peer, body) for peer in peers]
+        return messages
+
+    @_handle.register
+    def _on_lease(
+        self, body: Lease, sender: Peer, now_s: float
+    ) -> list[Outbound]:
+        sent_s = self._busy_sent_s.get(body.busy_number)
+        mine = body.home_incarnation == self._peer.incarnation
+        valid = 0 < body.share <= 1 and body.duration_s > 0
+        if sent_s is None or not mine or not valid or self._stopped:
+            self._counters.increment("limits.stray_leases")
+            return []
+        end_s = sent_s + min(body.duration_s, self._settings.handover_s)
+        if end_s <= now_s:
+            self._counters.increment("limits.late_leases")
+            return []
+        lease = HeldLease(body.number, body.share, end_s)
+        for entry in body.entries:
+            state = self._state(entry.organisation, now_s)
+            if state is None or body.busy_number <= state.void_busy_number:
+                continue
+            state.pool.accept(sender, lease, entry.tokens)
+        return self._answer_held(now_s)
+
+    def _release_abandoned(self, now_s: float) -> list[Outbound]:
+        """Returns shares that the preferred home can use better."""
+        abandoned = []
+        for organisation in sorted(self._active):
+            state = self._states.get(organisation)
+            if state is None or not state.pool.leases:
+                continue
+            home = self._home(organisation, now_s)
+            if home != self._peer.node and state.is_abandoned(now_s):
+                abandoned.append(state)
+        return self._release(abandoned, now_s)
+
+    def _release(
+        self, states: list[OrganisationState], now_s: float
+    ) -> list[Outbound]:
+        by_lender: dict[NodeId, list[OrganisationId]] = {}
+        hold_s = 0.0
+        for state in states:
+            state.advance(self._size(state.organisation, now_s), now_s)
+            for lender in state.pool.leases:
+                names = by_lender.setdefault(lender.node, [])
+                names.append(state.organisation)
+            end_s = state.void_leases(self._busy_number, now_s)
+            hold_s = max(hold_s, end_s - now_s)
+        return [
+            Outbound(
+                lender,
+                Release(self._busy_number, hold_s, chunk, self._stopped),
+            )
+            for lender, names in by_lender.items()
+            for chunk in self._chunks(names)
+        ]
+
+    # The lender.
+
+    @_handle.register
+    def _on_busy(
+        self, body: Busy, sender: Peer, now_s: float
+    ) -> list[Outbound]:
+        self._links.setdefault(sender.node, _HomeLink()).heard()
+        share = self._fleet.usable_share(now_s)
+        if self._stopped or share <= 0 or not self._fleet.is_fresh(now_s):
+            return []
+        duration_s = self._settings.lease_s
+        entries = []
+        for organisation in body.organisations:
+            state = self._state(organisation, now_s)
+            if state is None or not state.is_spare(now_s):
+                continue
+            tokens = state.lend(sender, body.number, duration_s, now_s)
+            if tokens is not None:
+                entries.append(TokenEntry(organisation, tokens))
+        return self._leases(sender, body.number, share, duration_s, entries)
+
+    def _leases(
+        self,
+        home: Peer,
+        busy_number: int,
+        share: float,
+        duration_s: float,
+        entries: list[TokenEntry],
+    ) -> list[Outbound]:
+        messages = []
+        for chunk in self._chunks(entries):
+            self._lease_number += 1
+            body = Lease(
+                busy_number=busy_number,
+                home_incarnation=home.incarnation,
+                number=self._lease_number,
+                share=share,
+                duration_s=duration_s,
+                entries=chunk,
+            )
+            self._counters.increment("limits.leases")
+            messages.append(Outbound(home.node, body))
+        return messages
+
+    @_handle.register
+    def _on_release(
+        self, body: Release, sender: Peer, now_s: float
+    ) -> list[Outbound]:
+        for organisation in body.organisations:
+            state = self._state(organisation, now_s)
+            if state is not None:
+                number = body.busy_number
+                state.take_back(sender, number, body.hold_s, now_s)
+        if body.stopping:
+            link = self._links.setdefault(sender.node, _HomeLink())
+            link.suspect_until_s = now_s + self._settings.suspect_s
+        return []
+
+    # State.
+
+    def _state(
+        self, organisation: OrganisationId, now_s: float
+    ) -> OrganisationState | None:
+        """Returns the state, advanced to now; None without limits."""
+        size = self._size(organisation, now_s)
+        state = self._states.get(organisation)
+        if state is None:
+            if size.rate_per_s <= 0:
+                return None
+            state = self._add(organisation, now_s)
+        state.advance(size, now_s)
+        return state if size.rate_per_s > 0 else None
+
+    def _add(
+        self, organisation: OrganisationId, now_s: float
+    ) -> OrganisationState:
+        state = OrganisationState(
+            organisation, self._settings, self._mint_from_s, now_s
+        )
+        self._states[organisation] = state
+        return state
+
+    def _size(self, organisation: OrganisationId, now_s: float) -> PoolSize:
+        limits = self._fleet.usable_limits(organisation, now_s)
+        if limits is None:
+            return PoolSize()
+        share = 0.0 if self._stopped else self._fleet.usable_share(now_s)
+        return PoolSize(limits.rate_per_s, limits.burst, share)
+
+    def _follow_config(self, now_s: float) -> None:
+        """Starts minting for new organisations before their first request.
+
+        A pool mints at the smaller of the limits of two advances, so the
+        idle ones are advanced too, once a second.
+        """
+        if now_s >= self._next_sweep_s:
+            self._next_sweep_s = now_s + SWEEP_S
+            for state in self._states.values():
+                state.advance(self._size(state.organisation, now_s), now_s)
+        config = self._fleet.config()
+        if config is None or config is self._seen_config:
+            return
+        self._seen_config = config
+        for organisation in config.organisations:
+            if organisation not in self._states:
+                self._add(organisation, now_s)
+        for organisation in list(self._states):
+            state = self._states[organisation]
+            if organisation in config.organisations:
+                continue
+            state.advance(self._size(organisation, now_s), now_s)
+            if state.may_forget(now_s):
+                del self._states[organisation]
+            else:
+                # Forget it at a later tick.
+                self._seen_config = None
+
+    def _forget_idle(self, now_s: float) -> None:
+        """Bounds what is kept of organisations, asks and askers."""
+        keep_s = self._settings.handover_s
+        for number, sent_s in list(self._busy_sent_s.items()):
+            if now_s - sent_s < keep_s:
+                break
+            del self._busy_sent_s[number]
+        for organisation in list(self._active):
+            state = self._states.get(organisation)
+            if state is None or state.is_idle(now_s):
+                self._active.discard(organisation)
+        for peer, asker in list(self._askers.items()):
+            if now_s - asker.heard_s > keep_s:
+                del self._askers[peer]
+        vms = self._fleet.vms()
+        if vms is not None:
+            for node in [n for n in self._links if n not in vms.nodes]:
+                del self._links[node]
+
+    def _home(
+        self, organisation: OrganisationId, now_s: float
+    ) -> NodeId | None:
+        """The preferred home, or the next one while that one is silent."""
+        home = self._fleet.preferred_home(HOME_KIND, organisation, now_s)
+        if home is None or not self._is_suspect(home, now_s):
+            return home
+        alive = self._fleet.alive_nodes(now_s)
+        others = [n for n in alive if not self._is_suspect(n, now_s)]
+        return rendezvous_first(f"{HOME_KIND} {organisation}", others)
+
+    def _is_suspect(self, node: NodeId, now_s: float) -> bool:
+        link = self._links.get(node)
+        return link is not None and link.suspect_until_s > now_s
+
+    def _chunks(self, entries: Iterable) -> Iterator[list]:
+        """Cuts entries into lists that fit a message."""
+        chunk, size_bytes = [], 0
+        for entry in entries:
+            name = getattr(entry, "organisation", entry)
+            entry_bytes = len(str(name).encode()) + ENTRY_BYTES
+            size_bytes += entry_bytes
+            if chunk and size_bytes > self._settings.message_bytes:
+                yield chunk
+                chunk, size_bytes = [], entry_bytes
+            chunk.append(entry)
+        if chunk:
+            yield chunk
+
+    def _over_rate(self, state: OrganisationState, now_s: float) -> Refusal:
+        self._counters.increment("limits.refused")
+        size = state.size
+        return Refusal(
+            RefusalCode.OVER_RATE,
+            RunState.NOT_RUN,
+            f"organisation {state.organisation} has no token left; its rate "
+            f"is {size.rate_per_s:g} requests a second with a burst of "
+            f"{size.burst:g}",
+            state.retry_after_ms(now_s),
+        )
+
+
+def _not_fresh() -> Refusal:
+    return Refusal(
+        RefusalCode.NODE_NOT_FRESH,
+        RunState.NOT_RUN,
+        "the node's configuration and VM list are not confirmed; another "
+        "node may answer",
+        1000,
+    )
+
+
+def _no_limits(organisation: OrganisationId) -> Refusal:
+    return Refusal(
+        RefusalCode.OVER_RATE,
+        RunState.NOT_RUN,
+        f"organisation {organisation} has no rate in force yet; a new rate "
+        "is in force some seconds after its publication",
+        2000,
+    )
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/limits_experiment/_world.py
@@ -0,0 +1,287 @@
+"""A fleet of rate limiters in virtual time, with callers and a history."""
+
+import dataclasses
+import random
+
+from egretrock.coordination.base import Message, Outbound, Peer
+from egretrock.coordination.limits import LimitSettings, RateLimiter
+from egretrock.state.config import Organisation
+from egretrock.state.ids import Incarnation, NodeId, OrganisationId
+from egretrock.state.outcome import Refusal
+from egretrock_standins.limits_experiment._ways import (
+    OwnerLimiter,
+    OwnerView,
+    StaticLimiter,
+    Way,
+)
+from egretrock_standins.virtual import (
+    Faults,
+    FleetStandIn,
+    VirtualNetwork,
+    VirtualPlatform,
+)
+
+#: Requests that may wait for a token at one node.
+WAITING_BOUND = 1000
+LIMITERS = {
+    Way.STATIC: StaticLimiter,
+    Way.OWNER: OwnerLimiter,
+    Way.LEASED: RateLimiter,
+}
+
+
+class ReferenceBucket:
+    """One token bucket for the fleet: tells which requests are within rate."""
+
+    def __init__(self, limits: Organisation) -> None:
+        self._limits = limits
+        self._level = limits.burst
+        self._at_s = 0.0
+
+    def admit(self, now_s: float) -> bool:
+        """Takes a token."""
+        minted = self._limits.rate_per_s * (now_s - self._at_s)
+        self._level = min(self._limits.burst, self._level + minted)
+        self._at_s = now_s
+        if self._level < 1:
+            return False
+        self._level -= 1
+        return True
+
+
+@dataclasses.dataclass
+class Request:
+    """One request of a caller and its outcome.
+
+    Attributes:
+        organisation: Whose request it is.
+        at_s: Time of arrival.
+        within_rate: Whether one bucket for the fleet would admit it.
+        admitted_s: Time of admission, or None.
+        refusal: Refusal, or None while it waits or when it was admitted.
+    """
+
+    organisation: OrganisationId
+    at_s: float
+    within_rate: bool
+    admitted_s: float | None = None
+    refusal: Refusal | None = None
+
+
+class World:
+    """Nodes with rate limiters, callers and the history of admissions.
+
+    Args:
+        seed: Seed of everything random.
+        node_count: Listed nodes.
+        organisations: Limits by organisation.
+        way: How the rate is shared.
+        settings: Constants of the limiter.
+        faults: What the network does to messages.
+        tick_s: Seconds between two ticks of a node.
+        waiting: Whether refused requests wait for tokens.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        node_count: int,
+        organisations: dict[OrganisationId, Organisation],
+        way: Way = Way.LEASED,
+        settings: LimitSettings | None = None,
+        faults: Faults | None = None,
+        tick_s: float = 0.02,
+        waiting: bool = True,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.way = way
+        self.settings = settings or LimitSettings()
+        self.tick_s = tick_s
+        self.waiting = waiting
+        faults = faults or Faults(loss=0.01, delay_s=(0.001, 0.002))
+        self.network = VirtualNetwork(self.rng, faults)
+        self.nodes = [
+            NodeId(f"127.0.0.{n}:7000") for n in range(1, node_count + 1)
+        ]
+        self.platform = VirtualPlatform(self.nodes, organisations)
+        if way is Way.OWNER:
+            views = self.platform.views
+            for node in views:
+                views[node] = OwnerView(node, self.platform)
+        self.limiters: dict[NodeId, RateLimiter] = {}
+        self.requests: list[Request] = []
+        self.admitted_s: dict[OrganisationId, list[float]] = {}
+        self._reference = {
+            name: ReferenceBucket(limits)
+            for name, limits in organisations.items()
+        }
+        self._waiting: dict[NodeId, list[Request]] = {}
+        self._frozen: set[NodeId] = set()
+        # The processes started handover_s ago.
+        wait_s = self.settings.handover_s * self.settings.clock_margin
+        for node in self.nodes:
+            self.start(node, -wait_s)
+
+    # Nodes.
+
+    def start(self, node: NodeId, start_s: float | None = None) -> None:
+        """Starts a process, or a new one after a kill."""
+        now_s = self.network.now_s
+        peer = Peer(node, Incarnation(self.rng.getrandbits(48)))
+        limiter = LIMITERS[self.way](
+            peer,
+            self.view(node),
+            self.rng,
+            now_s if start_s is None else start_s,
+            self.settings,
+        )
+        self.limiters[node] = limiter
+        self._waiting[node] = []
+        self._frozen.discard(node)
+        self.platform.down_since_s.pop(node, None)
+
+        def on_message(
+            sender: Peer, body: Message, now_s: float
+        ) -> list[Outbound]:
+            messages = limiter.on_message(sender, body, now_s)
+            self._retry(node)
+            return messages
+
+        self.network.add(peer, on_message, limiter.on_tick, self.tick_s)
+
+    def kill(self, node: NodeId) -> None:
+        """Ends a process; the requests that wait there are lost."""
+        self.network.kill(node)
+        self.limiters.pop(node, None)
+        self._frozen.discard(node)
+        self.platform.down_since_s[node] = self.network.now_s
+
+    def stop(self, node: NodeId) -> None:
+        """Ends a process as planned."""
+        messages = self.limiters[node].hand_over(self.network.now_s)
+        self.network.send(node, messages)
+        self.kill(node)
+
+    def freeze(self, node: NodeId) -> None:
+        """Stops a process without ending it."""
+        if node not in self._frozen and node in self.limiters:
+            self._frozen.add(node)
+            self.view(node).cut_since_s = self.network.now_s
+            self.network.freeze(node)
+
+    def wake(self, node: NodeId) -> None:
+        """Lets a stopped process go on; it confirms its revisions later."""
+        if node in self._frozen:
+            self._frozen.discard(node)
+            self.network.wake(node)
+            self._retry(node)
+            self.network.at(self.network.now_s + 0.01, self._confirm, node)
+
+    def view(self, node: NodeId) -> FleetStandIn:
+        """What a node knows of the fleet."""
+        return self.platform.views[node]
+
+    def _confirm(self, node: NodeId) -> None:
+        if node not in self._frozen:
+            self.view(node).cut_since_s = None
+
+    # Callers.
+
+    def call_poisson(
+        self,
+        organisation: OrganisationId,
+        nodes: list[NodeId],
+        per_s: float,
+        start_s: float,
+        end_s: float,
+    ) -> None:
+        """Plans Poisson arrivals at random nodes of a list."""
+        at_s = start_s + self.rng.expovariate(per_s)
+        while at_s < end_s:
+            node = self.rng.choice(nodes)
+            self.network.at(at_s, self.call, organisation, node)
+            at_s += self.rng.expovariate(per_s)
+
+    def call(self, organisation: OrganisationId, node: NodeId) -> None:
+        """One request; a node that is not ready hands it to another one."""
+        now_s = self.network.now_s
+        within = self._reference[organisation].admit(now_s)
+        request = Request(organisation, now_s, within)
+        self.requests.append(request)
+        if node in self._frozen:
+            self._waiting[node].append(request)
+            return
+        if not self._is_ready(node):
+            ready = [n for n in self.nodes if self._is_ready(n)]
+            if not ready:
+                return
+            node = self.rng.choice(ready)
+        self._admit(node, request, again=False)
+
+    def _is_ready(self, node: NodeId) -> bool:
+        limiter = self.limiters.get(node)
+        now_s = self.network.now_s
+        if limiter is None or node in self._frozen:
+            return False
+        return limiter.is_ready(now_s) and self.view(node).is_fresh(now_s)
+
+    def _admit(self, node: NodeId, request: Request, again: bool) -> bool:
+        """Admits or refuses; False if the request waits on."""
+        limiter = self.limiters[node]
+        now_s = self.network.now_s
+        result = limiter.admit(request.organisation, now_s, again)
+        if result.is_ok():
+            request.admitted_s = now_s
+            self.admitted_s.setdefault(request.organisation, []).append(now_s)
+            return True
+        self.network.send(node, limiter.flush(request.organisation, now_s))
+        until_s = limiter.wait_until_s(request.organisation, now_s)
+        last_s = request.at_s + self.settings.wait_s
+        waiting = self._waiting[node]
+        full = not again and len(waiting) >= WAITING_BOUND
+        if not self.waiting or until_s is None or now_s >= last_s or full:
+            request.refusal = result.error
+            return True
+        if not again:
+            waiting.append(request)
+        retry_s = max(min(until_s, last_s), now_s + 0.001)
+        self.network.at(retry_s, self._retry, node)
+        return False
+
+    def _retry(self, node: NodeId) -> None:
+        """Tries the requests that wait at a node, the oldest first."""
+        if node in self._frozen or node not in self.limiters:
+            return
+        waiting, self._waiting[node] = self._waiting[node], []
+        empty: set[OrganisationId] = set()
+        now_s = self.network.now_s
+        for request in waiting:
+            expired = now_s >= request.at_s + self.settings.wait_s
+            if request.organisation in empty and not expired:
+                self._waiting[node].append(request)
+            elif not self._admit(node, request, again=True):
+                self._waiting[node].append(request)
+                empty.add(request.organisation)
+
+    def run(self, until_s: float) -> None:
+        """Runs up to a virtual time."""
+        self.network.run(until_s)
+
+
+def largest_excess(times_s: list[float], limits: Organisation) -> float:
+    """Returns the largest count - rate x t - burst over all windows.
+
+    A window from admission i to admission j holds j - i + 1 admissions; with
+    d(k) = k - rate x time(k), the excess is d(j) - min d(i <= j) + 1 - burst.
+
+    Example:
+        >>> largest_excess([0.0, 0.0], Organisation(rate_per_s=1, burst=2))
+        0.0
+    """
+    worst = -limits.burst
+    lowest = float("inf")
+    for index, at_s in enumerate(sorted(times_s)):
+        distance = index - limits.rate_per_s * at_s
+        lowest = min(lowest, distance)
+        worst = max(worst, distance - lowest + 1 - limits.burst)
+    return float(worst)
