--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -5,6 +5,11 @@
     VirtualFleet,
     VirtualProcess,
 )
+from egretrock_standins.virtual._fleet_view import (
+    FleetStandIn,
+    Published,
+    VirtualPlatform,
+)
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 from egretrock_standins.virtual._targets import (
     VirtualNode,
@@ -14,10 +19,13 @@
 
 __all__ = [
     "Faults",
+    "FleetStandIn",
     "PlatformView",
+    "Published",
     "VirtualFleet",
     "VirtualNetwork",
     "VirtualNode",
+    "VirtualPlatform",
     "VirtualProcess",
     "VirtualTarget",
     "VirtualWorld",
