Let requests wait for tokens that are on the way

Cause: the rate limiter may have asked for tokens when a request finds none; refusing at once counts as a refusal within the rate.

Change: a request waits until the time that the limiter names, at most 500 of one organisation, in the order of arrival, and is admitted again after messages and at each tick.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -60,6 +60,7 @@
         ticket: Ticket at the permits part while waiting; requests that wait
             for the same service may exchange theirs.
         queue_ticket: Ticket in the fair queue while waiting there.
+        token_until_s: Time until which it may wait for a token of its rate.
         is_charged: Whether the fair queue expects a settlement.
         slot_time_s: Time in which tries occupied slots of targets.
         digest: Digest of the key, or None on an open route.
@@ -97,6 +98,7 @@
         self.attempt: AttemptId | None = None
         self.ticket: TicketId | None = None
         self.queue_ticket: TicketId | None = None
+        self.token_until_s = 0.0
         self.is_charged = False
         self.slot_time_s = 0.0
         self.tries = 0
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -1,5 +1,6 @@
 """The steps of a request, from its head to its answer or refusal."""
 
+import collections
 import itertools
 
 from egretrock.coordination.base import Counters, Outbound
@@ -20,6 +21,7 @@
     AttemptId,
     Incarnation,
     InstanceId,
+    OrganisationId,
     RequestId,
     ServiceId,
     TargetId,
@@ -81,6 +83,8 @@
 _SILENT_SLOT_TIMES = 20.0
 #: Permits in turn that may expire or become invalid before their use.
 _MAX_ASKS = 20
+#: Requests of one organisation that may wait for a token at the same time.
+_MAX_TOKEN_WAITERS = 500
 _OUTCOMES = {
     RetryReason.CONNECT_FAILED: CallOutcome.REFUSED,
     RetryReason.CONNECTION_LOST: CallOutcome.LOST,
@@ -129,6 +133,9 @@
         self._tickets = itertools.count(1)
         self._waiting: dict[TicketId, Exchange] = {}
         self._queued: dict[TicketId, Exchange] = {}
+        self._token_waiters: dict[
+            OrganisationId, collections.deque[Exchange]
+        ] = {}
         self._beginning: dict[AttemptId, Exchange] = {}
         self._in_flight: dict[RequestId, Exchange] = {}
         self._routing: Routing | None = None
@@ -173,6 +180,8 @@
         """Takes what the coordination parts have decided."""
         for result in self._parts.idempotency.poll(now_s):
             self._on_begin(result, now_s)
+        for organisation in list(self._token_waiters):
+            self._serve_token_waiters(organisation, now_s)
         for assignment in self._parts.permits.poll(now_s):
             self._on_assignment(assignment, now_s)
 
@@ -339,12 +348,55 @@
         if checked.is_error():
             exchange.refuse(checked.error)
             return
-        if exchange.organisation is not None:
-            admitted = self._parts.limits.admit(exchange.organisation, now_s)
-            if admitted.is_error():
-                exchange.refuse(admitted.error)
-                return
-        self._enqueue(exchange, now_s)
+        organisation = exchange.organisation
+        if organisation is None:
+            self._enqueue(exchange, now_s)
+            return
+        if organisation in self._token_waiters:
+            self._serve_token_waiters(organisation, now_s)
+        limits = self._parts.limits
+        admitted = limits.admit(organisation, now_s)
+        if admitted.is_ok():
+            self._enqueue(exchange, now_s)
+            return
+        self._send(limits.flush(organisation, now_s))
+        until_s = limits.wait_until_s(organisation, now_s)
+        waiters = self._token_waiters.get(organisation)
+        if until_s is None or (waiters and len(waiters) >= _MAX_TOKEN_WAITERS):
+            exchange.refuse(admitted.error)
+            return
+        exchange.stage = Stage.TOKEN
+        exchange.token_until_s = until_s
+        if waiters is None:
+            waiters = self._token_waiters[organisation] = collections.deque()
+        waiters.append(exchange)
+
+    def _serve_token_waiters(
+        self, organisation: OrganisationId, now_s: float
+    ) -> None:
+        """Admits waiting requests in order, as far as there are tokens."""
+        waiters = self._token_waiters.pop(organisation)
+        limits = self._parts.limits
+        while waiters:
+            exchange = waiters[0]
+            if not exchange.is_done:
+                refusal = self._check_again(exchange, now_s)
+                if refusal is None:
+                    admitted = limits.admit(organisation, now_s, again=True)
+                    if admitted.is_error():
+                        if now_s < exchange.token_until_s:
+                            self._send(limits.flush(organisation, now_s))
+                            # The end of one may have started another.
+                            newer = self._token_waiters.get(organisation, ())
+                            waiters.extend(newer)
+                            self._token_waiters[organisation] = waiters
+                            return
+                        refusal = admitted.error
+                if refusal is None:
+                    self._enqueue(exchange, now_s)
+                else:
+                    exchange.refuse(refusal)
+            waiters.popleft()
 
     def _enqueue(self, exchange: Exchange, now_s: float) -> None:
         ticket = self._new_ticket(exchange)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -45,8 +45,14 @@
     """The part of ``RateLimiter`` that requests need."""
 
     def admit(
-        self, organisation: OrganisationId, now_s: float
+        self, organisation: OrganisationId, now_s: float, again: bool = False
     ) -> Result[None, Refusal]: ...
+    def wait_until_s(
+        self, organisation: OrganisationId, now_s: float
+    ) -> float | None: ...
+    def flush(
+        self, organisation: OrganisationId, now_s: float
+    ) -> list[Outbound]: ...
 
 
 class QueuePort(Protocol):
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -26,6 +26,7 @@
 
     BODY = "body"
     IDEMPOTENCY = "idempotency"
+    TOKEN = "token"
     QUEUED = "queued"
     CONNECTING = "connecting"
     SENT = "sent"
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -53,6 +53,14 @@
       | the organisation is over its rate | over_rate         |
       | the request is quarantined        | crash_quarantine  |
 
+  Scenario: A request within its rate is refused while tokens are on the way
+    When 2 requests wait for tokens that arrive after 5 ms
+    Then both are sent, in their order
+
+  Scenario: A request waits for tokens for ever
+    When 2 requests wait for tokens that do not arrive
+    Then both are refused with over_rate after 10 ms
+
   Scenario: A data centre that is out is served for ever, or cut off at once
     When the data centre is taken out
     Then requests to targets elsewhere run for 5 s and no longer
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -271,6 +271,42 @@
     check_refusal(context, code, state)
 
 
+def wait_for_tokens(context):
+    context.parts.limits.allows = False
+    context.parts.limits.wait_s = 0.01
+    start(context)
+    start(context)
+    context.now_s += 0.005
+    context.pipeline.poll(context.now_s)
+    assert [e.stage.value for e in context.exchanges] == ["token"] * 2
+
+
+@when("2 requests wait for tokens that arrive after 5 ms")
+def step_tokens(context):
+    wait_for_tokens(context)
+    context.parts.limits.allows = True
+    context.pipeline.poll(context.now_s)
+
+
+@then("both are sent, in their order")
+def step_both_sent(context):
+    step_turns(context, "1, 2")
+    assert not context.counters.counts
+
+
+@when("2 requests wait for tokens that do not arrive")
+def step_no_tokens(context):
+    wait_for_tokens(context)
+    context.now_s += 0.006
+    context.pipeline.poll(context.now_s)
+
+
+@then("both are refused with over_rate after 10 ms")
+def step_over_rate(context):
+    assert [e.caller.status for e in context.exchanges] == [429, 429]
+    assert context.pipeline.in_flight_count == 0
+
+
 @then("requests to targets elsewhere run for {grace_s:d} s and no longer")
 def step_grace(context, grace_s):
     publish_targets(context, data_centre="west")
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -74,8 +74,15 @@
 class FakeLimits:
     def __init__(self):
         self.allows = True
+        self.wait_s = None
 
-    def admit(self, organisation, now_s):
+    def wait_until_s(self, organisation, now_s):
+        return None if self.wait_s is None else now_s + self.wait_s
+
+    def flush(self, organisation, now_s):
+        return []
+
+    def admit(self, organisation, now_s, again=False):
         if self.allows:
             return ADMITTED
         return Error(
