Add the steps for a target that starts under load

Change: an unpublished target that is cold for 8 s and publishes under load; the verdict is its own count of overloads while cold.

--- a/packages/egretrock-standins/src/egretrock_standins/fleet_runner/tests/environment.py
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/tests/environment.py
@@ -12,6 +12,7 @@
 
 FLEETS_AT_ONCE = 3
 TARGETS_PER_SERVICE = 4
+COLD_S = 8
 
 
 def plan():
@@ -31,6 +32,19 @@
         for service in ("records", "payouts")
         for number in range(TARGETS_PER_SERVICE)
     ]
+    # The ramp of a profile with 2 slots stays at 1 for its whole duration.
+    new = TargetOptions(
+        target_id="new",
+        slots=2,
+        service_time=ServiceTime(mean_ms=40),
+        cold_s=COLD_S,
+        cold_concurrency=1,
+    )
+    targets.append(
+        PlannedTarget(
+            service="records", data_centre="east", options=new, published=False
+        )
+    )
     return FleetPlan(
         node_data_centres=["east", "west", "east"],
         targets=targets,
@@ -50,7 +64,8 @@
 def start_fleet():
     fleet = Fleet(plan()).__enter__()
     try:
-        fleet.wait_serving("/records/0", fleet.keys["birch"])
+        for key in fleet.keys.values():
+            fleet.wait_serving("/records/0", key)
     except BaseException:
         fleet.__exit__(None, None, None)
         raise
--- a/packages/egretrock-standins/src/egretrock_standins/fleet_runner/tests/steps/fault_steps.py
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/tests/steps/fault_steps.py
@@ -330,3 +330,32 @@
 @then("it ends up refused with {code}")
 def step_code(context, code):
     assert context.codes[-1] == code, context.codes
+
+
+@when("the target {target_id} starts and is published")
+def step_start_target(context, target_id):
+    fleet = context.fleet
+    fleet.target_control("action", target_id, action="cold")
+    planned = next(
+        target
+        for target in fleet.plan.targets
+        if target.options.target_id == target_id
+    )
+    entry = {
+        "address": fleet.target_address(target_id),
+        "data_centre": planned.data_centre,
+        "slots": planned.options.slots,
+    }
+    fleet.publish_config(
+        lambda config: config["services"][planned.service]["targets"].update(
+            {target_id: entry}
+        )
+    )
+
+
+@then("the target {target_id} ran requests and was never overloaded while cold")
+def step_cold(context, target_id):
+    stats = context.fleet.target_control("stats", target_id)
+    assert stats["runs"] > 0, stats
+    assert stats["max_cold_concurrency"] <= 1, stats
+    assert stats["counts"].get("cold_overloads", 0) == 0, stats
