--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -3,6 +3,7 @@
 import hashlib
 from typing import TYPE_CHECKING
 
+from egretrock.coordination.targets import CallOutcome, CallResult, Permit
 from egretrock.state.ids import (
     AttemptId,
     Fingerprint,
@@ -30,11 +31,8 @@
 from egretrock_node.protocol.requests._body import BodyBuffer
 from egretrock_node.protocol.requests._ports import CallerPort, TryHandle
 from egretrock_node.protocol.requests._values import (
-    CallOutcome,
-    CallResult,
     InFlight,
     OutgoingRequest,
-    Permit,
     RecordKey,
     Stage,
     TryFailure,
@@ -59,6 +57,11 @@
         head: The head as received.
         match: Route and profile, or None where none was found.
         organisation: Owner of the key, or None on an open route.
+        ticket: Ticket at the permits part while waiting; requests that wait
+            for the same service may exchange theirs.
+        queue_ticket: Ticket in the fair queue while waiting there.
+        is_charged: Whether the fair queue expects a settlement.
+        slot_time_s: Time in which tries occupied slots of targets.
         digest: Digest of the key, or None on an open route.
         headers: Fields that the target may see.
         query: Query without any key.
@@ -93,7 +96,9 @@
         self.record: RecordKey | None = None
         self.attempt: AttemptId | None = None
         self.ticket: TicketId | None = None
-        self.in_queue = False
+        self.queue_ticket: TicketId | None = None
+        self.is_charged = False
+        self.slot_time_s = 0.0
         self.tries = 0
         self.asks = 0
         self.excluded: frozenset[TargetId] = frozenset()
@@ -233,7 +238,7 @@
             target,
             headers,
             length,
-            self.body.pieces,
+            bytes(self.body.held),
             self.body.complete,
         )
 
@@ -253,7 +258,7 @@
         for field in fields:
             digest.update(b"%d:" % len(field))
             digest.update(field)
-        digest.update(b"".join(self.body.pieces)[:_FINGERPRINT_BYTES])
+        digest.update(self.body.held[:_FINGERPRINT_BYTES])
         self.fingerprint = Fingerprint(digest.hexdigest())
         return self.fingerprint
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -3,10 +3,17 @@
 import itertools
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.targets import (
+    Assignment,
+    CallOutcome,
+    CallResult,
+    Permit,
+)
 from egretrock.state.config import (
     Access,
     DataCentreState,
     PublishedConfig,
+    Target,
     TargetPublishedState,
 )
 from egretrock.state.ids import (
@@ -34,6 +41,7 @@
     digest_key,
     filter_request_headers,
     header_values,
+    is_in_path,
 )
 from egretrock_node.protocol.requests._exchange import (
     Exchange,
@@ -53,12 +61,9 @@
 )
 from egretrock_node.protocol.requests._values import (
     NO_ORGANISATION,
-    Assignment,
     BeginOutcome,
     BeginResult,
     CallFailure,
-    CallOutcome,
-    CallResult,
     CallState,
     InFlight,
     QueuedRequest,
@@ -123,6 +128,7 @@
         self._ids = RequestIds(incarnation)
         self._tickets = itertools.count(1)
         self._waiting: dict[TicketId, Exchange] = {}
+        self._queued: dict[TicketId, Exchange] = {}
         self._beginning: dict[AttemptId, Exchange] = {}
         self._in_flight: dict[RequestId, Exchange] = {}
         self._routing: Routing | None = None
@@ -219,6 +225,9 @@
         routing = self._current_routing(now_s)
         if routing is None:
             return self._not_ready()
+        key = presented.ok.key
+        if key is not None and is_in_path(key, head.path):
+            return bad_request("the key must not stand in the path")
         found = routing.match(head.path, head.method)
         if found.is_error():
             return found.error
@@ -228,7 +237,6 @@
         exchange.query = presented.ok.query
         exchange.deadline_s = now_s + match.profile.deadline_ms / 1000
         if match.route.access is Access.KEYED:
-            key = presented.ok.key
             if key is None:
                 message = "the route needs a key and the request has none"
                 return no_answer(RefusalCode.KEY_MISSING, message)
@@ -340,21 +348,28 @@
 
     def _enqueue(self, exchange: Exchange, now_s: float) -> None:
         ticket = self._new_ticket(exchange)
-        service = exchange.match.route.service
         item = QueuedRequest(
-            ticket,
-            exchange.organisation or NO_ORGANISATION,
-            service,
-            self._slot_time_s.get(service, _FIRST_SLOT_TIME_S),
-            exchange.deadline_s,
+            ticket=ticket,
+            service=exchange.match.route.service,
+            organisation=exchange.organisation or NO_ORGANISATION,
+            deadline_s=exchange.deadline_s,
         )
-        offered = self._parts.queue.offer(item, now_s)
+        queue = self._parts.queue
+        offered = queue.offer(item, now_s)
         if offered.is_error():
             del self._waiting[ticket]
+            exchange.ticket = None
             exchange.refuse(offered.error)
             return
-        exchange.in_queue = True
-        self._ask_permit(exchange, now_s)
+        exchange.queue_ticket = ticket
+        self._queued[ticket] = exchange
+        for evicted in queue.evicted():
+            other = self._queued.get(evicted.ticket)
+            if other is not None:
+                self.withdraw(other, CallOutcome.UNUSED)
+                other.refuse(queue.full_refusal(evicted))
+        if not exchange.is_done:
+            self._ask_permit(exchange, now_s)
 
     def _ask_permit(self, exchange: Exchange, now_s: float) -> None:
         exchange.stage = Stage.QUEUED
@@ -373,9 +388,9 @@
 
     def _on_assignment(self, assignment: Assignment, now_s: float) -> None:
         exchange = self._waiting.pop(assignment.ticket, None)
-        if exchange is not None and exchange.in_queue:
+        if exchange is not None and exchange.queue_ticket is not None:
             exchange = self._next_in_turn(exchange, now_s)
-        if exchange is None or exchange.is_done:
+        if exchange is None:
             unused = CallResult(CallOutcome.UNUSED)
             self._send(
                 self._parts.permits.finish(assignment.permit, unused, now_s)
@@ -396,28 +411,26 @@
     def _next_in_turn(self, asker: Exchange, now_s: float) -> Exchange | None:
         """Gives a permit to the request whose turn it is.
 
-        The ticket of that request stays outstanding and passes to the one
-        whose ticket was answered.
+        The permit's ticket of that request stays outstanding and passes to
+        the one whose ticket was answered.
         """
         service = asker.match.route.service
         while item := self._parts.queue.take(service, now_s):
-            if item.ticket == asker.ticket:
-                chosen = asker
-                break
-            other = self._waiting.pop(item.ticket, None)
-            if other is None:
-                continue  # Its caller has left.
-            asker.ticket = item.ticket
-            self._waiting[item.ticket] = asker
-            chosen = other
-            break
-        else:
-            # The queue no longer holds the asker, so it cannot wait on.
-            message = "the queue gave the place to another organisation"
-            asker.refuse(no_answer(RefusalCode.QUEUE_FULL, message))
-            return None
-        chosen.in_queue = False
-        return chosen
+            chosen = self._queued.pop(item.ticket, None)
+            if chosen is None:
+                # Its caller has left, so it occupies no slot.
+                self._parts.queue.settle(item.organisation, service, 0.0)
+                continue
+            chosen.queue_ticket = None
+            chosen.is_charged = True
+            if chosen is not asker:
+                asker.ticket = chosen.ticket
+                self._waiting[asker.ticket] = asker
+            return chosen
+        # The queue has dropped the asker at its deadline.
+        asker.ticket = None
+        asker.refuse(self._deadline_exceeded())
+        return None
 
     # The checks at each moment of acting.
 
@@ -433,21 +446,32 @@
             self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
             exchange.refuse(refusal)
             return False
-        usable = self._is_usable(exchange, call)
-        if usable and self._parts.permits.may_dispatch(call.permit, now_s):
+        usable = self._is_usable(exchange, call.permit)
+        if (
+            usable
+            and self._is_at(exchange, call.permit)
+            and self._parts.permits.may_dispatch(call.permit, now_s)
+        ):
+            if exchange.tries == 0:
+                self._parts.retries.on_first_try(
+                    exchange.match.route.service, now_s
+                )
             exchange.tries += 1
             return True
         self.counters.increment("permits.unused")
-        if not usable:
-            exchange.excluded |= {call.permit.target}
         self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
         exchange.asks += 1
-        if exchange.asks > _MAX_ASKS:
+        if not usable:
+            exchange.excluded |= {call.permit.target}
+        if not self._has_target_beyond(exchange, exchange.excluded):
+            message = "no target of the service is in service"
+            exchange.refuse(no_answer(RefusalCode.NO_TARGET, message))
+        elif exchange.asks > _MAX_ASKS:
             message = f"{_MAX_ASKS} permits in turn were not usable"
             exchange.refuse(no_answer(RefusalCode.NO_TARGET, message))
-            return False
-        self._new_ticket(exchange)
-        self._ask_permit(exchange, now_s)
+        else:
+            self._new_ticket(exchange)
+            self._ask_permit(exchange, now_s)
         return False
 
     def _check_again(self, exchange: Exchange, now_s: float) -> Refusal | None:
@@ -456,28 +480,33 @@
             return self._deadline_exceeded()
         if not self._parts.fleet.is_fresh(now_s):
             return self._not_fresh()
+        routing = self._current_routing(now_s)
+        if routing is None:
+            return self._not_ready()
         if exchange.digest is not None:
-            routing = self._current_routing(now_s)
-            owner = routing and routing.organisation_of(exchange.digest)
+            owner = routing.organisation_of(exchange.digest)
             if owner != exchange.organisation:
                 return self._key_unknown()
         return None
 
-    def _is_usable(self, exchange: Exchange, call: Try) -> bool:
-        routing = self._routing
-        service = exchange.match.route.service
-        services = routing.config.services if routing else {}
-        permit = call.permit
-        if service not in services:
+    def _is_usable(self, exchange: Exchange, permit: Permit) -> bool:
+        """Returns whether a target is listed and in service."""
+        target = self._target(exchange, permit)
+        if target is None or target.state is not TargetPublishedState.ACTIVE:
             return False
-        target = services[service].targets.get(permit.target)
-        if target is None or target.address != permit.address:
-            return False
-        if target.state is not TargetPublishedState.ACTIVE:
-            return False
-        centre = routing.config.data_centres.get(target.data_centre)
+        centre = self._routing.config.data_centres.get(target.data_centre)
         return centre is not None and centre.state is DataCentreState.IN
 
+    def _is_at(self, exchange: Exchange, permit: Permit) -> bool:
+        """Returns whether a target is still at the address of a permit."""
+        target = self._target(exchange, permit)
+        return target is not None and target.address == permit.address
+
+    def _target(self, exchange: Exchange, permit: Permit) -> Target | None:
+        services = self._routing.config.services
+        service = services.get(exchange.match.route.service)
+        return service and service.targets.get(permit.target)
+
     def _has_target_beyond(
         self, exchange: Exchange, excluded: frozenset[TargetId]
     ) -> bool:
@@ -591,7 +620,7 @@
             if not answering and self._may_repeat(exchange, call):
                 exchange.stage = Stage.CHECKING
 
-            def on_checked(is_alive: bool) -> None:
+            def on_checked(is_alive: bool | None) -> None:
                 self._on_checked(exchange, call, failure, is_alive)
 
             self._targets.check_alive(call.permit.address, on_checked)
@@ -600,26 +629,23 @@
         if answering:
             exchange.break_off()
         else:
-            self._retry(exchange, call, failure, now_s)
+            self._retry(exchange, call, failure, None, now_s)
 
     def _on_checked(
         self,
         exchange: Exchange,
         call: Try,
         failure: TryFailure,
-        is_alive: bool,
+        is_alive: bool | None,
     ) -> None:
-        """The target of a lost connection was found alive or refusing."""
+        """The target of a lost connection was looked at."""
         now_s = self.now()
-        if not is_alive:
+        if is_alive is False:
             proven = self._suspicions.take_refused(call.permit.target, now_s)
             self._report(proven, now_s)
         if exchange.stage is not Stage.CHECKING:
             return
-        if is_alive:
-            self._retry(exchange, call, failure, now_s)
-        else:
-            exchange.refuse(_refusal_of(failure))
+        self._retry(exchange, call, failure, is_alive, now_s)
 
     def _suspect(self, exchange: Exchange, call: Try, now_s: float) -> None:
         target = call.permit.target
@@ -648,7 +674,12 @@
         return exchange.may_repeat and exchange.body.replayable
 
     def _retry(
-        self, exchange: Exchange, call: Try, failure: TryFailure, now_s: float
+        self,
+        exchange: Exchange,
+        call: Try,
+        failure: TryFailure,
+        is_alive: bool | None,
+        now_s: float,
     ) -> None:
         refusal = self._check_again(exchange, now_s)
         if refusal is not None:
@@ -658,17 +689,19 @@
         if self._may_repeat(exchange, call) and self._has_target_beyond(
             exchange, excluded
         ):
-            state = CallState(
-                exchange.match.route.service,
-                exchange.may_repeat,
-                exchange.tries,
-                exchange.deadline_s,
-                exchange.body.replayable,
+            decision = self._parts.retries.may_retry(
+                CallState(
+                    service=exchange.match.route.service,
+                    idempotent=exchange.may_repeat,
+                    tries=exchange.tries,
+                    tried=excluded,
+                    deadline_s=exchange.deadline_s,
+                    fingerprint=exchange.fingerprint,
+                ),
+                CallFailure(failure.reason, call.is_sent, is_alive),
+                now_s,
             )
-            reason = CallFailure(failure.reason, failure.run_state)
-            decision = self._parts.retries.may_retry(state, reason, now_s)
             if decision.allowed:
-                self.counters.increment(f"retries.{failure.reason.value}")
                 exchange.excluded = excluded
                 self._new_ticket(exchange)
                 self._ask_permit(exchange, now_s)
@@ -682,6 +715,9 @@
             if self._waiting.pop(exchange.ticket, None) is not None:
                 self._send(self._parts.permits.cancel(exchange.ticket, now_s))
             exchange.ticket = None
+        if exchange.queue_ticket is not None:
+            self._queued.pop(exchange.queue_ticket, None)
+            exchange.queue_ticket = None
         call = exchange.call
         if call is not None and call.is_active:
             silent_s = exchange.silent_s(now_s)
@@ -694,6 +730,12 @@
         """An exchange is over."""
         self._in_flight.pop(exchange.request_id, None)
         self.withdraw(exchange, CallOutcome.CANCELLED)
+        if exchange.is_charged:
+            self._parts.queue.settle(
+                exchange.organisation or NO_ORGANISATION,
+                exchange.match.route.service,
+                exchange.slot_time_s,
+            )
         self.counters.increment(f"requests.{outcome}")
         if exchange.attempt is None or exchange.record is None:
             return
@@ -738,12 +780,7 @@
         self, exchange: Exchange, call: Try, result: CallResult, now_s: float
     ) -> None:
         self._send(self._parts.permits.finish(call.permit, result, now_s))
-        if call.is_sent:
-            self._parts.queue.settle(
-                exchange.organisation or NO_ORGANISATION,
-                exchange.match.route.service,
-                result.latency_s,
-            )
+        exchange.slot_time_s += result.latency_s
 
     def _new_ticket(self, exchange: Exchange) -> TicketId:
         ticket = TicketId(next(self._tickets))
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -6,7 +6,7 @@
 
 from egretrock.state.ids import (
     AttemptId,
-    InstanceId,
+    Fingerprint,
     OrganisationId,
     RequestId,
     RouteId,
@@ -15,7 +15,7 @@
     TicketId,
 )
 from egretrock.state.outcome import RetryReason, RunState
-from egretrock_node.protocol.http import HeaderList, TargetCondition
+from egretrock_node.protocol.http import HeaderList
 
 #: Organisation of requests on open routes, which carry no key.
 NO_ORGANISATION = OrganisationId("")
@@ -60,15 +60,15 @@
         target: Path and query.
         headers: Fields without those of the framing.
         content_length: Bytes of the body, or None for a chunked body.
-        pieces: Body bytes that are at hand.
-        complete: Whether ``pieces`` is the whole body.
+        body: Body bytes that are at hand.
+        complete: Whether ``body`` is the whole body.
     """
 
     method: bytes
     target: bytes
     headers: HeaderList
     content_length: int | None
-    pieces: list[bytes]
+    body: bytes
     complete: bool
 
 
@@ -89,76 +89,37 @@
     refused: bool = False
 
 
-class Permit(msgspec.Struct, frozen=True):
-    """The right to send one request to one target."""
-
-    permit_id: int
-    service: ServiceId
-    target: TargetId
-    address: str
-    instance: InstanceId | None
-    expires_s: float
-    new_connection: bool
-
-
-class Assignment(msgspec.Struct, frozen=True):
-    """A permit for a waiting request."""
-
-    ticket: TicketId
-    permit: Permit
-
-
 class QueuedRequest(msgspec.Struct, frozen=True):
-    """A request in the fair queue."""
+    """One waiting request."""
 
     ticket: TicketId
-    organisation: OrganisationId
     service: ServiceId
-    slot_time_s: float
+    organisation: OrganisationId
     deadline_s: float
 
 
-class CallOutcome(enum.Enum):
-    """What came of a permit."""
-
-    OK = "ok"
-    ERROR = "err"
-    SHED = "shed"
-    REFUSED = "ref"
-    LOST = "lost"
-    TIMEOUT = "time"
-    CANCELLED = "can"
-    UNUSED = "un"
-
-
-class CallResult(msgspec.Struct, frozen=True):
-    """How a permit ended."""
-
-    outcome: CallOutcome
-    latency_s: float = 0.0
-    instance: InstanceId | None = None
-    condition: TargetCondition | None = None
-
-
 class CallState(msgspec.Struct, frozen=True):
-    """A request for which a retry is considered."""
+    """One call, before the retry that is asked for."""
 
     service: ServiceId
     idempotent: bool
     tries: int
+    tried: frozenset[TargetId]
     deadline_s: float
-    replayable: bool
+    answer_started: bool = False
+    fingerprint: Fingerprint | None = None
 
 
 class CallFailure(msgspec.Struct, frozen=True):
-    """Why the last try failed."""
+    """How the last try failed."""
 
     reason: RetryReason
-    run_state: RunState
+    bytes_sent: bool
+    instance_alive: bool | None = None
 
 
 class RetryDecision(msgspec.Struct, frozen=True):
-    """Whether a request may be sent again."""
+    """Answer of the policy."""
 
     allowed: bool
 
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -5,6 +5,7 @@
 from expression import Error, Ok
 
 from egretrock.coordination.base import NullCounters
+from egretrock.coordination.targets import Assignment, Permit
 from egretrock.state.config import (
     Access,
     DataCentre,
@@ -23,17 +24,16 @@
     digest_key,
 )
 from egretrock_node.protocol.requests import (
-    Assignment,
     BeginOutcome,
     BeginResult,
     Environment,
     Parts,
-    Permit,
     PipelineSettings,
     RequestPipeline,
     RetryDecision,
 )
 
+ADMITTED = Ok(None)
 KEY = "secret-key"
 
 
@@ -77,7 +77,7 @@
 
     def admit(self, organisation, now_s):
         if self.allows:
-            return Ok(None)
+            return ADMITTED
         return Error(
             Refusal(RefusalCode.OVER_RATE, RunState.NOT_RUN, "over rate", 250)
         )
@@ -86,16 +86,25 @@
 class FakeQueue:
     def __init__(self):
         self.items = []
+        self.evictions = []
+        self.settled = []
 
     def offer(self, item, now_s):
         self.items.append(item)
-        return Ok(None)
+        return ADMITTED
+
+    def evicted(self):
+        evicted, self.evictions = self.evictions, []
+        return evicted
+
+    def full_refusal(self, item):
+        return Refusal(RefusalCode.QUEUE_FULL, RunState.NOT_RUN, "full")
 
     def take(self, service, now_s):
         return self.items.pop(0) if self.items else None
 
     def settle(self, organisation, service, slot_time_s):
-        pass
+        self.settled.append(slot_time_s)
 
     def expire(self, now_s):
         return []
@@ -158,7 +167,14 @@
 
 
 class FakeRetries:
+    def __init__(self):
+        self.reasons = []
+
+    def on_first_try(self, service, now_s):
+        pass
+
     def may_retry(self, call, failure, now_s):
+        self.reasons.append(failure.reason.value)
         return RetryDecision(call.tries < 3)
 
 
@@ -168,7 +184,7 @@
         self.refusal = None
 
     def check(self, fingerprint, now_s):
-        return Ok(None) if self.refusal is None else Error(self.refusal)
+        return ADMITTED if self.refusal is None else Error(self.refusal)
 
     def report(self, fingerprint, target, instance, now_s):
         self.reports.append((fingerprint, target, instance))
