--- a/packages/egretrock-node/src/egretrock_node/settings/_model.py
+++ b/packages/egretrock-node/src/egretrock_node/settings/_model.py
@@ -9,7 +9,8 @@
 
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
-FreshnessSeconds = Annotated[float, msgspec.Meta(ge=1, le=60)]
+#: Below three heartbeats a single lost datagram would make a node refuse.
+FreshnessSeconds = Annotated[float, msgspec.Meta(ge=3, le=60)]
 AdapterName = Annotated[
     str, msgspec.Meta(pattern=r"^[A-Za-z_][\w.]*:[A-Za-z_]\w*$")
 ]
