Check the fleet part by histories in virtual time

Cause: exclusive partitions, revisions that never revert, freshness and shares are claims over whole histories, so single cases do not show them.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -169,6 +169,10 @@
         """Returns the revision after which a watch asks; 0 without one."""
         return self._stores[document].seen
 
+    def revision(self, document: DocumentName) -> Revision:
+        """Returns the revision in force; 0 without one."""
+        return self._stores[document].revision
+
     def findings(self, document: DocumentName) -> list[Finding]:
         """Returns the faults of the latest revision, if it was refused."""
         return list(self._stores[document].findings)
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/fleet.feature
@@ -0,0 +1,49 @@
+Feature: Behaviour of the fleet part
+
+  Scenario: A platform outage of an hour stops a connected fleet
+    Given a ready fleet of 5 nodes
+    And messages are lost with probability 0.01
+    When the platform is down for 3600 s
+    Then every node was fresh all the time
+
+  Scenario: An isolated node goes on
+    Given a ready fleet of 3 nodes
+    When a node is cut off from the platform and its peers for 4.1 s
+    Then it is not fresh and holds no partition
+    And the others hold all partitions 5 s later
+
+  Scenario: A node that restarts during a platform outage stays away
+    Given a ready fleet of 3 nodes
+    When the platform is down for 10 s
+    And a node restarts
+    Then it is ready 8 s later
+
+  Scenario Outline: A small fleet does not start, or does not start again
+    Given a ready fleet of <count> nodes
+    When all nodes restart
+    Then every node is ready 15 s later
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+      | 19    |
+
+  Scenario: A planned stop leaves partitions without a holder
+    Given a ready fleet of 5 nodes
+    When a node releases its partitions
+    Then the others hold all partitions 3 s later
+
+  Scenario: A refused configuration stops the fleet or is accepted in part
+    Given a ready fleet of 3 nodes
+    When a configuration without fields is published
+    Then after 20 s every node is fresh, keeps revision 1 and shows findings
+
+  Scenario: A raised limit is used while others still spend by the old one
+    Given a ready fleet of 1 nodes
+    When the rate of an organisation grows to 500
+    Then it may be used 6 s later and not 5 s later
+
+  Scenario: Heartbeats of 19 nodes exceed their share of the network
+    Given a ready fleet of 19 nodes
+    Then a heartbeat has at most 110 bytes in JSON
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_steps.py
@@ -0,0 +1,142 @@
+import msgspec
+from behave import given, then, when
+from fleet_history import World, config_json
+
+from egretrock.coordination.fleet import (
+    DocumentName,
+)
+from egretrock_standins.virtual import Faults, PlatformView
+
+
+@given("a ready fleet of {count:d} nodes")
+def step_ready(context, count):
+    context.world = World(1, count)
+    context.world.get_ready()
+    context.node = context.world.listed[-1]
+
+
+@given("messages are lost with probability {loss:f}")
+def step_loss(context, loss):
+    context.world.sim.network.faults = Faults(loss=loss)
+
+
+@when("the platform is down for {seconds:d} s")
+def step_outage(context, seconds):
+    sim = context.world.sim
+    sim.observers.clear()
+    for name in context.world.listed:
+        sim.set_view(name, PlatformView.DOWN)
+    context.least_fresh = len(context.world.listed)
+    for _ in range(2 * seconds):
+        sim.run(0.5)
+        count = len(list(context.world.fresh()))
+        context.least_fresh = min(context.least_fresh, count)
+
+
+@then("every node was fresh all the time")
+def step_always_fresh(context):
+    assert context.least_fresh == 5, context.least_fresh
+
+
+@when("a node is cut off from the platform and its peers for {seconds:f} s")
+def step_isolated(context, seconds):
+    context.world.sim.set_view(context.node, PlatformView.DOWN)
+    context.world.sim.split([context.node])
+    context.world.advance(seconds)
+
+
+@then("it is not fresh and holds no partition")
+def step_stopped(context):
+    status = context.world.status(context.node)
+    assert not status.fresh
+    assert not status.held_partitions
+
+
+@then("the others hold all partitions {seconds:d} s later")
+def step_others_hold(context, seconds):
+    context.world.advance(seconds)
+    others = set(context.world.listed) - {context.node}
+    held = [p for name in others for p in context.world.held(name)]
+    assert sorted(held) == list(range(64)), len(held)
+    assert not context.world.violations, context.world.violations
+
+
+@when("a node restarts")
+def step_restart(context):
+    context.world.sim.start(context.node)
+
+
+@when("all nodes restart")
+def step_restart_all(context):
+    context.world.do_restart_all(None, None)
+
+
+@then("it is ready {seconds:d} s later")
+def step_ready_later(context, seconds):
+    context.world.sim.run(seconds)
+    assert context.world.status(context.node).ready
+
+
+@then("every node is ready {seconds:d} s later")
+def step_all_ready_later(context, seconds):
+    context.world.sim.run(seconds)
+    for name in context.world.listed:
+        assert context.world.status(name).ready, name
+
+
+@when("a node releases its partitions")
+def step_release(context):
+    process = context.world.sim.processes[context.node]
+    messages = process.fleet.release(process.now_s())
+    context.world.sim.network.send(context.node, messages)
+    assert not context.world.held(context.node)
+
+
+@when("a configuration without fields is published")
+def step_bad_config(context):
+    context.world.sim.publish(DocumentName.CONFIG, b"{}")
+
+
+@then(
+    "after {seconds:d} s every node is fresh, keeps revision 1 and shows "
+    "findings"
+)
+def step_refused(context, seconds):
+    context.world.advance(seconds)
+    assert len(list(context.world.fresh())) == 3
+    for process in context.world.sim.processes.values():
+        assert process.fleet.revision(DocumentName.CONFIG) == 1
+        assert process.fleet.findings(DocumentName.CONFIG)
+
+
+@when("the rate of an organisation grows to {rate:d}")
+def step_grow(context, rate):
+    value = config_json(rate).encode()
+    context.process = context.world.sim.processes[context.node]
+    now_s = context.process.now_s()
+    context.process.fleet.on_document(
+        DocumentName.CONFIG, 2, value, now_s, now_s
+    )
+    context.grown_s, context.rate = now_s, rate
+
+
+@then("it may be used {late:d} s later and not {early:d} s later")
+def step_grown(context, late, early):
+    def usable(seconds):
+        limits = context.process.fleet.usable_limits(
+            "o", context.grown_s + seconds
+        )
+        return limits.rate_per_s
+
+    assert usable(early) <= 100
+    assert usable(late) == context.rate
+
+
+@then("a heartbeat has at most {size:d} bytes in JSON")
+def step_size(context, size):
+    process = context.world.sim.processes[context.node]
+    messages = process.fleet.on_tick(process.now_s() + 2)
+    sizes = [len(msgspec.json.encode(m.body)) for m in messages]
+    print(f"{sum(sizes) / len(sizes):.0f} bytes on average, {max(sizes)} most")
+    assert len(sizes) == 18
+    assert max(sizes) <= size
