--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -0,0 +1,150 @@
+"""Values of the request pipeline and of the parts it calls."""
+
+import enum
+
+import msgspec
+
+from egretrock.state.ids import (
+    AttemptId,
+    Fingerprint,
+    OrganisationId,
+    RequestId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    TicketId,
+)
+from egretrock.state.outcome import RetryReason, RunState
+from egretrock_node.protocol.http import HeaderList
+
+#: Organisation of requests on open routes, which carry no key.
+NO_ORGANISATION = OrganisationId("")
+
+
+class Stage(enum.Enum):
+    """Where a request stands."""
+
+    BODY = "body"
+    IDEMPOTENCY = "idempotency"
+    TOKEN = "token"
+    QUEUED = "queued"
+    CONNECTING = "connecting"
+    SENT = "sent"
+    CHECKING = "checking"
+    ANSWERING = "answering"
+    DONE = "done"
+
+
+class InFlight(msgspec.Struct, frozen=True):
+    """A request that has no complete answer yet.
+
+    Attributes:
+        request_id: Id that the caller and the target know.
+        route: Route of the request.
+        stage: Where it stands.
+        run_state: Whether a target may have run it.
+        age_s: Seconds since its head arrived.
+    """
+
+    request_id: RequestId
+    route: RouteId
+    stage: Stage
+    run_state: RunState
+    age_s: float
+
+
+class OutgoingRequest(msgspec.Struct):
+    """A request as it goes to a target.
+
+    Attributes:
+        method: Method.
+        target: Path and query.
+        headers: Fields without those of the framing.
+        content_length: Bytes of the body, or None for a chunked body.
+        body: Body bytes that are at hand.
+        complete: Whether ``body`` is the whole body.
+    """
+
+    method: bytes
+    target: bytes
+    headers: HeaderList
+    content_length: int | None
+    body: bytes
+    complete: bool
+
+
+class TryFailure(msgspec.Struct, frozen=True):
+    """A try that brought no complete answer.
+
+    Attributes:
+        reason: Reason.
+        run_state: ``NOT_RUN`` only where no byte can have left, or where the
+            target said that it did not run the request.
+        message: Text for people.
+        refused: Whether the target refused the connection.
+    """
+
+    reason: RetryReason
+    run_state: RunState
+    message: str
+    refused: bool = False
+
+
+class QueuedRequest(msgspec.Struct, frozen=True):
+    """One waiting request."""
+
+    ticket: TicketId
+    service: ServiceId
+    organisation: OrganisationId
+    deadline_s: float
+
+
+class CallState(msgspec.Struct, frozen=True):
+    """One call, before the retry that is asked for."""
+
+    service: ServiceId
+    idempotent: bool
+    tries: int
+    tried: frozenset[TargetId]
+    deadline_s: float
+    answer_started: bool = False
+    fingerprint: Fingerprint | None = None
+
+
+class CallFailure(msgspec.Struct, frozen=True):
+    """How the last try failed."""
+
+    reason: RetryReason
+    bytes_sent: bool
+    instance_alive: bool | None = None
+
+
+class RetryDecision(msgspec.Struct, frozen=True):
+    """Answer of the policy."""
+
+    allowed: bool
+
+
+class RecordKey(msgspec.Struct, frozen=True):
+    """Key of an idempotency record."""
+
+    organisation: OrganisationId
+    route: RouteId
+    key: str
+
+
+class BeginOutcome(enum.Enum):
+    """Answer to the question whether a key was used before."""
+
+    FIRST = "first"
+    SEEN = "seen"
+    UNAVAILABLE = "unavailable"
+
+
+class BeginResult(msgspec.Struct, frozen=True):
+    """Outcome of the start of a keyed request."""
+
+    attempt: AttemptId
+    outcome: BeginOutcome
+    run_state: RunState | None = None
+    status: int | None = None
