Prove permits, ramps and probes in virtual time

Cause: the bounds must hold under loss, repetition, reordering, cuts, freezes, kills, restarts and home changes.

--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_targets.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_targets.py
@@ -1,6 +1,5 @@
 """Targets, nodes and partition leases in virtual time."""
 
-import collections
 import dataclasses
 import functools
 import math
@@ -110,6 +109,10 @@
         self.condition = TargetCondition.READY
         self.calls: list[_Call] = []
         self.served = 0
+        self.peak = 0
+        self.arrived = 0
+        self.failing = False
+        self.reported: Health | None = None
         self._world = world
         self._starts = 0
         self.instance = InstanceId("")
@@ -156,7 +159,14 @@
             self._world.later(TARGET_DELAY_S, call.node.end_call, call, outcome)
             return
         call.instance = self.instance
+        self.arrived += 1
+        if self.failing:
+            self._world.later(
+                TARGET_DELAY_S, call.node.end_call, call, CallOutcome.ERROR
+            )
+            return
         self.calls.append(call)
+        self.peak = max(self.peak, len(self.calls))
         if len(self.calls) > self.allowed():
             excess = (
                 f"{self.target} had {len(self.calls)} requests "
@@ -190,6 +200,8 @@
 
     def health(self) -> Health:
         """Returns what the target tells a probe."""
+        if self.reported is not None:
+            return self.reported
         return Health(
             self.instance,
             self.condition,
@@ -281,13 +293,15 @@
         latency_s = world.now_s - call.sent_s
         target = call.permit.target
         instance = None
-        if outcome is CallOutcome.OK:
+        condition = None
+        if outcome in (CallOutcome.OK, CallOutcome.ERROR):
             instance = call.instance
             self.connections[target] = instance
+            condition = world.targets[target].condition
             world.latencies.append(latency_s)
         elif self.connections.get(target) == call.instance:
             del self.connections[target]
-        result = CallResult(outcome, latency_s, instance)
+        result = CallResult(outcome, latency_s, instance, condition)
         finish = self.targets.client.finish
         self._send(finish(call.permit, result, world.now_s))
 
@@ -316,8 +330,7 @@
         offered_s = self.waiting.pop(assignment.ticket)
         instance = self.connections.get(permit.target)
         allowed = client.may_dispatch(permit, world.now_s)
-        if world.check_dispatch:
-            allowed = allowed and (permit.new_connection or instance)
+        allowed = allowed and bool(permit.new_connection or instance)
         if not allowed:
             result = CallResult(CallOutcome.UNUSED)
             world.later(0.002, self._request, offered_s, offered_s + 5.0)
@@ -329,7 +342,7 @@
                 self.leases.known_config, permit.service, permit.target
             )
             if known is None:
-                world.excesses.append(f"dispatch to {permit.target}")
+                world.wrong_dispatches.append(permit.target)
         self.in_flight += 1
         call = _Call(self, permit, world.now_s, instance or InstanceId(""))
         world.later(TARGET_DELAY_S, world.targets[permit.target].arrive, call)
@@ -410,8 +423,8 @@
         self.vms = _convert_vms(vms)
         self.holder: NodeId | None = None
         self.holder_since_s = 0.0
-        self.check_dispatch = True
         self.excesses: list[str] = []
+        self.wrong_dispatches: list[str] = []
         self.latencies: list[float] = []
         self.waits: list[float] = []
         self.probe_times_s: list[float] = []
@@ -488,12 +501,6 @@
         """Runs to a virtual time."""
         self.network.run(until_s)
 
-    def outcome_counts(self) -> collections.Counter[str]:
-        """Returns the number of requests served by target."""
-        return collections.Counter(
-            {t.target: t.served for t in self.targets.values()}
-        )
-
     def _checked(self) -> PublishedConfig:
         report = check_config(msgspec.json.encode(self.tree))
         if report.value is None:
