--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/__init__.py
@@ -0,0 +1,73 @@
+"""HTTP rules of the request path, without sockets.
+
+Example:
+    >>> from egretrock_node.protocol.http import KeyCredentials
+    >>> presented = KeyCredentials().extract([(b"x-api-key", b"k1")], None)
+    >>> presented.ok.key, presented.ok.headers
+    (b'k1', [])
+"""
+
+from egretrock_node.protocol.http._credentials import (
+    Credentials,
+    KeyCredentials,
+    Presented,
+    digest_key,
+    is_in_path,
+)
+from egretrock_node.protocol.http._framing import (
+    MAX_LENGTH_DIGITS,
+    RequestHead,
+    bad_request,
+    check_head,
+    is_persistent,
+    line_fault,
+)
+from egretrock_node.protocol.http._headers import (
+    HeaderList,
+    filter_request_headers,
+    filter_response_headers,
+    header_values,
+)
+from egretrock_node.protocol.http._refusals import (
+    AnswerHead,
+    RefusalAnswer,
+    RequestIds,
+    refusal_answer,
+)
+from egretrock_node.protocol.http._routing import RouteMatch, Routing
+from egretrock_node.protocol.http._target_protocol import (
+    AnswerSigns,
+    TargetCondition,
+    TargetHealth,
+    TargetLoad,
+    TargetProtocol,
+)
+
+__all__ = [
+    "MAX_LENGTH_DIGITS",
+    "AnswerHead",
+    "AnswerSigns",
+    "Credentials",
+    "HeaderList",
+    "KeyCredentials",
+    "Presented",
+    "RefusalAnswer",
+    "RequestHead",
+    "RequestIds",
+    "RouteMatch",
+    "Routing",
+    "TargetCondition",
+    "TargetHealth",
+    "TargetLoad",
+    "TargetProtocol",
+    "bad_request",
+    "check_head",
+    "digest_key",
+    "filter_request_headers",
+    "filter_response_headers",
+    "header_values",
+    "is_in_path",
+    "is_persistent",
+    "line_fault",
+    "refusal_answer",
+]
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -0,0 +1,411 @@
+import json
+from unittest.mock import Mock
+
+import msgspec
+from behave import given, then, when
+from expression import Error
+
+from egretrock.state.config import (
+    DataCentre,
+    DataCentreState,
+    TargetPublishedState,
+)
+from egretrock.state.outcome import (
+    Refusal,
+    RefusalCode,
+    RetryReason,
+    RunState,
+)
+from egretrock_node.protocol.http import AnswerHead, RequestHead
+from egretrock_node.protocol.requests import BeginOutcome, TryFailure
+from egretrock_node.tests.path_fakes import (
+    CountingCounters,
+    make_config,
+    make_parts,
+    make_pipeline,
+)
+
+ADDRESSES = ["127.0.0.1:1", "127.0.0.1:2"]
+OUT = DataCentre(DataCentreState.OUT)
+
+
+class FakeTry(Mock):
+    """A try whose connection the steps drive."""
+
+    def start(self):
+        if not self.targets.connecting:
+            self.send()
+
+    def send(self):
+        self.request = self.listener.prepare()
+        if self.request is not None:
+            self.targets.sent.append(self)
+            self.listener.on_sent()
+
+    def answer(self, status=200, instance=b"i1", fields=()):
+        headers = [(b"target-instance", instance), *fields]
+        self.listener.on_answer(AnswerHead(status, b"", headers, 2))
+        self.listener.on_data(self.address.encode())
+        self.listener.on_end()
+
+    def lose(self):
+        self.listener.on_failure(
+            TryFailure(RetryReason.CONNECTION_LOST, RunState.UNKNOWN, "lost")
+        )
+
+
+class FakeTargets:
+    def __init__(self):
+        self.connecting = False
+        self.tries, self.sent, self.checks = [], [], []
+
+    def call(self, address, request_id, once, listener):
+        attempt = FakeTry(targets=self, address=address, listener=listener)
+        self.tries.append(attempt)
+        return attempt
+
+    def check_alive(self, address, callback):
+        self.checks.append(callback)
+
+
+@given("a pipeline")
+def step_pipeline(context):
+    context.now_s = 100.0
+    context.published = make_config(ADDRESSES)
+    context.parts = make_parts(context.published)
+    context.targets = FakeTargets()
+    context.counts = CountingCounters()
+    context.pipeline = make_pipeline(
+        context.parts, context.targets, context.counts, lambda: context.now_s
+    )
+    context.exchanges = []
+
+
+def start(context, path=b"/records/1", method=b"GET", fields=(), body=b""):
+    headers = [(b"host", b"a"), (b"x-api-key", b"secret-key"), *fields]
+    caller = context.caller = Mock()
+    head = RequestHead(method, path, None, headers, len(body))
+    exchange = context.pipeline.start(head, caller)
+    exchange.caller = caller
+    context.exchanges.append(exchange)
+    exchange.on_body(body)
+    exchange.on_body_end()
+    return exchange
+
+
+def poll(context, after_s=0.0):
+    context.now_s += after_s
+    context.pipeline.on_tick(context.now_s)
+
+
+def release(context):
+    context.parts.permits.held = False
+    poll(context)
+
+
+def status_of(caller):
+    """Status of the one answer that a caller got, and its body."""
+    assert caller.start_answer.call_count == caller.finish.call_count == 1
+    body = b"".join(call.args[0] for call in caller.write.call_args_list)
+    return caller.start_answer.call_args.args[0].status, body
+
+
+def publish(context, **changes):
+    config = msgspec.structs.replace(context.published, **changes)
+    context.parts.fleet.config.return_value = config
+    return config
+
+
+def publish_targets(context, **changes):
+    service = context.published.services["records"]
+    targets = {
+        name: msgspec.structs.replace(target, **changes)
+        for name, target in service.targets.items()
+    }
+    service = msgspec.structs.replace(service, targets=targets)
+    return publish(context, services={"records": service})
+
+
+def evict_first(context):
+    queue = context.parts.queue
+    queue.evicted.return_value = [queue.items.pop(0)]
+    full = Refusal(RefusalCode.QUEUE_FULL, RunState.NOT_RUN, "full")
+    queue.full_refusal = Mock(return_value=full)
+    first = context.caller
+    start(context)
+    context.caller = first
+
+
+def refuse(part, code):
+    refusal = Refusal(RefusalCode(code), RunState.NOT_RUN, "text")
+    return lambda c: getattr(c.parts, part).configure_mock(
+        **{
+            "check.return_value": Error(refusal),
+            "admit.return_value": Error(refusal),
+        }
+    )
+
+
+def returns(part, method, value):
+    return lambda c: getattr(getattr(c.parts, part), method).configure_mock(
+        return_value=value
+    )
+
+
+CHANGES = {
+    "the node loses freshness": returns("fleet", "is_fresh", False),
+    "the node is not ready": returns("fleet", "is_ready", False),
+    "the node refuses new requests": lambda c: c.pipeline.refuse_new(),
+    "no configuration is known": returns("fleet", "config", None),
+    "the organisation is over its rate": refuse("limits", "over_rate"),
+    "the key is withdrawn": lambda c: publish(c, keys={}),
+    "the deadline passes": lambda c: setattr(c, "now_s", c.now_s + 10),
+    "the request is quarantined": refuse("quarantine", "crash_quarantine"),
+    "the target leaves": lambda c: publish_targets(
+        c, state=TargetPublishedState.LEAVING
+    ),
+    "the data centre is taken out": lambda c: publish(
+        c, data_centres={"east": OUT}
+    ),
+    "each permit expires": returns("permits", "may_dispatch", False),
+    "the queue drops it for another": evict_first,
+    "no node knows whether a key was used": lambda c: setattr(
+        c.parts.idempotency, "outcome", BeginOutcome.UNAVAILABLE
+    ),
+}
+for text, act in CHANGES.items():
+    when(text)(lambda context, act=act: act(context))
+
+
+@when("a request starts")
+def step_start(context):
+    start(context)
+
+
+@when("a request waits for a permit")
+def step_wait(context):
+    context.parts.permits.held = True
+    start(context)
+
+
+@when("a request on an open route waits for a permit")
+def step_wait_open(context):
+    context.parts.permits.held = True
+    start(context, b"/open")
+
+
+@when("a request waits for a connection")
+def step_wait_connection(context):
+    context.targets.connecting = True
+    start(context)
+
+
+@when("meanwhile {change}")
+def step_change(context, change):
+    CHANGES[change](context)
+    if context.targets.connecting:
+        context.targets.tries[-1].send()
+    else:
+        release(context)
+
+
+@then("it is refused with {code} and {state}")
+def step_refused(context, code, state):
+    poll(context)
+    refusal = json.loads(status_of(context.caller)[1])
+    assert (refusal["code"], refusal["run_state"]) == (code, state), refusal
+    assert context.counts.counts[f"refusals.{code}"] == 1
+    assert not context.caller.abort.called
+
+
+@then("it is refused unsent with {code} and {state}")
+def step_refused_unsent(context, code, state):
+    step_refused(context, code, state)
+    assert context.exchanges[0].tries == 0
+
+
+@then("a request whose target has moved is sent to the new address")
+def step_moved(context):
+    step_wait_connection(context)
+    context.targets.connecting = False
+    publish_targets(context, address="127.0.0.1:3")
+    context.targets.tries[0].send()
+    assert [t.address for t in context.targets.sent] == ["127.0.0.1:3"]
+
+
+def wait_for_tokens(context):
+    refuse("limits", "over_rate")(context)
+    context.parts.limits.wait_until_s.return_value = context.now_s + 0.01
+    start(context)
+    start(context)
+    poll(context, 0.005)
+    assert [e.stage.value for e in context.exchanges] == ["token"] * 2
+
+
+@then("2 requests that wait for tokens are sent in order once they arrive")
+def step_tokens(context):
+    admitted = context.parts.limits.admit.return_value
+    wait_for_tokens(context)
+    context.parts.limits.admit.return_value = admitted
+    poll(context)
+    check_sent(context, "1, 2")
+    assert not context.counts.counts
+
+
+@then("2 requests that wait for tokens are refused after 10 ms without")
+def step_no_tokens(context):
+    wait_for_tokens(context)
+    poll(context, 0.006)
+    statuses = [status_of(e.caller)[0] for e in context.exchanges]
+    assert statuses == [429, 429], statuses
+
+
+@then("requests to targets elsewhere run for {grace_s:d} s and no longer")
+def step_grace(context, grace_s):
+    context.published = publish_targets(context, data_centre="west")
+    publish(context, data_centres={"east": OUT, "west": DataCentre()})
+    for after_s, sent in ((0, 1), (grace_s - 0.1, 2), (grace_s, 2)):
+        context.now_s = 100.0 + after_s
+        start(context)
+        assert len(context.targets.sent) == sent, after_s
+    step_refused(context, "data_centre_out", "not_run")
+
+
+@when("a request is sent and its connection lost")
+def step_lost(context):
+    start(context)
+    context.targets.sent[-1].answer()
+    start(context)
+    context.targets.sent[-1].lose()
+
+
+@when("a request is sent, its connection lost, and a retry waits")
+def step_lost_and_waits(context):
+    step_lost(context)
+    context.parts.permits.held = True
+    context.targets.checks[-1](True)
+    assert context.parts.permits.asked, "no retry"
+
+
+@when("a request is sent and shed by both targets")
+def step_shed(context):
+    start(context)
+    for number in range(2):
+        fields = [(b"target-not-run", b"1")]
+        context.targets.sent[number].answer(503, b"i1", fields)
+
+
+@when("3 requests wait and the queue prefers the newest")
+def step_newest(context):
+    context.parts.permits.held = True
+    items = context.parts.queue.items
+    context.parts.queue.take = lambda *_: items.pop() if items else None
+    for _ in range(3):
+        start(context)
+
+
+@when("3 requests wait and the caller of the second leaves")
+def step_leave(context):
+    context.parts.permits.held = True
+    for _ in range(3):
+        start(context)
+    context.exchanges[1].on_caller_gone()
+
+
+def check_sent(context, numbers):
+    ids = [dict(t.request.headers) for t in context.targets.sent]
+    sent = [fields[b"Egretrock-Request-Id"].decode() for fields in ids]
+    started = [exchange.request_id for exchange in context.exchanges]
+    assert sent == [started[int(n) - 1] for n in numbers.split(",")], sent
+
+
+@then("the permits go to the requests {numbers}")
+def step_turns(context, numbers):
+    release(context)
+    check_sent(context, numbers)
+    for attempt in context.targets.sent:
+        attempt.answer()
+    assert context.parts.queue.settle.call_count == 3
+    assert context.pipeline.in_flight_count == 0
+
+
+@when("a payout with an idempotency key starts")
+@when("the same payout is sent again")
+def step_payout(context):
+    fields = [(b"idempotency-key", b"k1")]
+    start(context, b"/payouts", b"POST", fields, b"pay")
+
+
+@when("a payout with an idempotency key is answered")
+def step_payout_answered(context):
+    step_payout(context)
+    context.targets.sent[-1].answer()
+    assert status_of(context.caller)[0] == 200
+
+
+@then("the record was completed once, as {state} with status {status}")
+def step_completed(context, state, status):
+    complete = context.parts.idempotency.complete
+    assert complete.call_count == 1
+    expected = (RunState(state), None if status == "none" else int(status))
+    assert complete.call_args.args[2:4] == expected, complete.call_args
+
+
+@when("the target refuses connections")
+def step_refuses(context):
+    context.targets.checks[-1](False)
+
+
+@when("{which} instance of the target answers")
+def step_answers(context, which):
+    context.targets.checks[-1](None)
+    start(context)
+    instance = b"i1" if which == "the same" else b"i2"
+    context.targets.sent[-1].answer(instance=instance)
+
+
+@then("there is evidence against the request at instance i1")
+def step_evidence(context):
+    report = context.parts.quarantine.report
+    assert report.call_count == 1
+    expected = (context.exchanges[1].fingerprint, "t0", "i1")
+    assert report.call_args.args[:3] == expected, report.call_args
+
+
+@then("there is no evidence")
+def step_no_evidence(context):
+    assert not context.parts.quarantine.report.called
+
+
+@then("a silent target's late answer reaches no caller")
+def step_silent(context):
+    start(context)
+    poll(context, 5)
+    first, second = context.targets.sent
+    first.abandon.assert_called_once_with(True)
+    first.answer()
+    assert not context.caller.start_answer.called
+    second.answer()
+    first.answer()
+    assert status_of(context.caller) == (200, ADDRESSES[1].encode())
+
+
+@when("a body larger than the buffer is sent and the connection lost")
+def step_large(context):
+    start(context, method=b"PUT", body=b"a" * 70_000)
+    context.targets.sent[-1].lose()
+    context.targets.checks[-1](True)
+    assert len(context.targets.sent) == 1
+
+
+@then("the report of a cut names sent as unknown and queued as not_run")
+def step_cut(context):
+    start(context)
+    step_wait(context)
+    report = [
+        (i.stage.value, i.run_state.value) for i in context.pipeline.cut()
+    ]
+    assert report == [("sent", "unknown"), ("queued", "not_run")], report
+    statuses = [status_of(e.caller)[0] for e in context.exchanges]
+    assert statuses == [503, 503]
+    assert context.pipeline.in_flight_count == 0
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -0,0 +1,341 @@
+import json
+import threading
+import time
+
+from behave import then
+
+from egretrock_node.tests.path_world import (
+    GET,
+    KEY,
+    OK,
+    PAYOUT,
+    World,
+    in_reactor,
+    ok,
+    wait_until,
+)
+from egretrock_node.transport.target import FetchError
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+NO_LAST_CHUNK = CHUNKED + b"\r\n5\r\nhello\r\n"
+BROKEN = [
+    b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+    NO_LAST_CHUNK,
+    CHUNKED + b"\r\n9\r\nhello",
+    NO_LAST_CHUNK + b"x\r\n",
+]
+MALFORMED = [
+    b"",
+    b"HTTP/1.1 200 OK\r\nContent-",
+    CHUNKED + b"Content-Length: 5\r\n\r\n0\r\n\r\n",
+    OK.replace(b"\r\n\r\n", b"\r\nContent-Length: 2\r\n\r\n"),
+    OK.replace(b" 2\r", b" +2\r"),
+    b"HTTP/1.1 200 OK\r\n\r\nhello",  # ends with the connection
+    OK.replace(b"OK\r\n", b"OK\n"),
+    OK.replace(b"\r\nContent", b"\r\n X: 1\r\nContent"),
+    OK.replace(b"200", b"2x0"),
+]
+
+
+def world(context, *args):
+    context.world = World(*args)
+    return context.world, context.world.targets[0]
+
+
+def send_and_close(data):
+    return lambda connection: connection.sendall(data) or False
+
+
+def keep_silent(connection):
+    return bool(connection.recv(1))
+
+
+def check_refusal(caller, status, state):
+    received, fields, body = caller.answer()
+    refusal = json.loads(body)
+    assert (received, refusal["run_state"]) == (status, state), refusal
+    assert fields["egretrock-request-id"] == refusal["request_id"]
+
+
+def check_own_answer(target, caller, on_new):
+    """The next request gets its own answer, on the connection expected."""
+    target.script.append(ok(b"02"))
+    caller.send(GET + b"\r\n")
+    assert caller.answer()[2] == b"02"
+    assert (target.used[-1] is not target.used[0]) == on_new
+
+
+@then("each of {count:d} answers that break in the body breaks at the caller")
+def step_broken(context, count):
+    node, target = world(context)
+    assert len(BROKEN) == count
+    for answer in BROKEN:
+        target.script = [send_and_close(answer)]
+        try:
+            node.caller(GET + b"\r\n").answer()
+        except (EOFError, ConnectionError):
+            continue
+        raise AssertionError(f"{answer} looks complete")
+
+
+@then("each of {count:d} malformed answers gives 502 with run state unknown")
+def step_malformed(context, count):
+    node, target = world(context)
+    assert len(MALFORMED) == count
+    for answer in MALFORMED:
+        target.script = [send_and_close(answer)]
+        check_refusal(node.caller(GET + b"\r\n"), 502, "unknown")
+    assert node.counters.counts["refusals.target_failed"] == count
+
+
+@then("its connection is reset")
+def step_reset(context):
+    node, target = world(context)
+    target.script = [send_and_close(NO_LAST_CHUNK)]
+    caller = node.caller(GET.replace(b"HTTP/1.1", b"HTTP/1.0") + b"\r\n")
+    try:
+        while caller.socket.recv(1000):
+            pass
+    except ConnectionResetError:
+        return
+    raise AssertionError("the end looks clean")
+
+
+@then("the next request gets its own answer on another connection")
+def step_extra(context):
+    node, target = world(context)
+    target.script = [OK + ok(b"no")]
+    caller = node.caller(GET + b"\r\n")
+    assert caller.answer()[2] == b"ok"
+    check_own_answer(target, caller, on_new=True)
+
+
+@then("{count:d} requests in turn use 1 connection")
+def step_in_turn(context, count):
+    node, target = world(context)
+    caller = node.caller()
+    for _ in range(count):
+        assert caller.status(GET + b"\r\n") == 200
+    assert len(target.sockets) == 1
+
+
+@then("the next payout is answered, and the permits part is told")
+def step_closed(context):
+    node, target = world(context)
+    target.script = [send_and_close(OK)]
+    caller = node.caller()
+    assert caller.status(GET + b"\r\n") == 200
+    wait_until(lambda: target.lost == 1)
+    assert caller.status(PAYOUT) == 200
+    permits = node.parts.permits
+    for told in (permits.connection_lost, permits.pool_empty):
+        wait_until(lambda told=told: told.called)
+        assert told.call_args.args[:2] == ("records", "t0")
+        assert told.call_count == 1
+
+
+@then("the target's connection is closed, before and during the answer")
+def step_leave(context):
+    node, target = world(context)
+    for start in (b"", BROKEN[0]):
+        lost = target.lost
+
+        def answer(connection, start=start):
+            connection.sendall(start)
+            return keep_silent(connection)
+
+        target.script = [answer]
+        caller = node.caller(GET + b"\r\n")
+        wait_until(lambda: not target.script)
+        if start:
+            caller.head()
+        caller.close()
+        wait_until(lambda lost=lost: target.lost == lost + 1)
+        wait_until(lambda: node.pipeline.in_flight_count == 0)
+    assert node.counters.counts["requests.cancelled"] == 2
+    outcomes = [r.outcome.value for r in node.parts.permits.results]
+    assert outcomes == ["can", "can"], outcomes
+
+
+@then("the caller gets 504, and the next request its own answer")
+def step_late(context):
+    node, target = world(context, 1, 200)
+    target.script = [lambda c: time.sleep(0.4) or c.sendall(ok(b"01"))]
+    caller = node.caller(GET + b"\r\n")
+    check_refusal(caller, 504, "unknown")
+    check_own_answer(target, caller, on_new=True)
+
+
+@then("another target answers, the old connections are closed")
+def step_silent(context):
+    node, target = world(context, 2, 600)
+    barrier = threading.Barrier(3)
+    target.script = [lambda c: (barrier.wait(5) and None) or c.sendall(OK)] * 3
+    callers = [node.caller(GET + b"\r\n") for _ in range(3)]
+    assert [caller.answer()[0] for caller in callers] == [200] * 3
+    assert len(target.sockets) == 3
+    target.script = [keep_silent]
+    assert callers[0].status(GET + b"\r\n") == 200
+    assert len(node.targets[1].heads) == 1
+    failure = node.parts.retries.may_retry.call_args.args[1]
+    assert failure.reason.value == "progress_timeout"
+    wait_until(lambda: target.lost == 3)
+
+
+@then("the silent target is told to cancel on a fresh connection")
+def step_told_cancel(context):
+    target = context.world.targets[0]
+    wait_until(lambda: len(target.heads) == 5)
+    request_id = target.heads[3].split(b"Request-Id: ")[1].split(b"\r\n")[0]
+    cancel = target.heads[4]
+    assert cancel.startswith(b"DELETE /requests/" + request_id), cancel
+    assert target.used[4] not in target.used[:4]
+
+
+@then("a payout whose connection is lost is sent once")
+def step_lost_payout(context):
+    node, target = world(context, 2)
+    target.script = [lambda connection: False]
+    check_refusal(node.caller(PAYOUT), 502, "unknown")
+    time.sleep(0.1)
+    assert [len(t.heads) for t in node.targets] == [1, 0]
+
+
+@then("{count:d} payouts on connections that close as they are sent run once")
+def step_race(context, count):
+    node = context.world
+    for _ in range(count):
+        node.targets[0].script.append(send_and_close(OK))
+        caller = node.caller()
+        caller.status(GET + b"\r\n")
+        before = sum(len(t.heads) for t in node.targets)
+        status = caller.status(PAYOUT)
+        sent = sum(len(t.heads) for t in node.targets) - before
+        assert sent <= 1 and status in (200, 502), (sent, status)
+
+
+@then("a payout is answered by the other target, and else not_run")
+def step_refused(context):
+    node, _ = world(context, 2)
+    node.targets[0].close()
+    assert node.caller().status(PAYOUT) == 200
+    assert len(node.targets[1].heads) == 1
+    node.targets[1].close()
+    wait_until(lambda: node.pool.open_count == 0)
+    check_refusal(node.caller(PAYOUT), 502, "not_run")
+
+
+@then("it arrives there with its whole body")
+def step_whole_body(context):
+    node, target = world(context, 2)
+    target.script = [lambda connection: False]
+    body = b"a" * 50_000
+    head = GET.replace(b"GET", b"PUT") + b"Content-Length: 50000\r\n\r\n"
+    assert node.caller().status(head + body) == 200
+    assert node.targets[1].bodies == [body]
+
+
+@then("a shed payout gives not_run, and the connection is kept")
+def step_shed(context):
+    node, target = world(context)
+    shed = OK.replace(b"200 OK", b"503 Busy\r\nTarget-Not-Run: 1")
+    target.script = [shed]
+    caller = node.caller(PAYOUT)
+    check_refusal(caller, 503, "not_run")
+    check_own_answer(target, caller, on_new=False)
+
+
+@then("keys in {count:d} forms are accepted and reach no target")
+def step_forms(context, count):
+    node, target = world(context)
+    x_key = "X-Api-Key: secret-key"
+    forms = [
+        ("/records/1", "Authorization: Bearer secret-key"),
+        ("/records/1", "authorization: BEARER   secret-key"),
+        ("/records/1", "AUTHORIZATION:bearer\tsecret-key"),
+        ("/records/1", "X-API-KEY: secret-key"),
+        ("/records/1", f"{x_key}\r\nx_api_key: secret-key"),
+        ("/records/1?api_key=secret-key&a=1", "A: b"),
+        ("/records/1?a=1&%61pi%5fkey=secret%2Dkey", "A: b"),
+        ("/records/1?a=1;API_KEY[]=%73ecret-key;b=2", "A: b"),
+        ("/records/1", f"{x_key}\r\nReferer: /?api_key=secret-key"),
+        ("/records/1?token=secret%2dkey", f"{x_key}\r\nCookie: k=secret-key"),
+        ("/open/1", x_key),
+        ("/open/1?api_key=secret-key", "A: b"),
+    ]
+    caller = node.caller()
+    for path, fields in forms:
+        request = f"GET {path} HTTP/1.1\r\nHost: a\r\n{fields}\r\n\r\n"
+        status = caller.status(request.encode())
+        assert status == 200, (status, request)
+    assert len(target.heads) == len(forms) == count
+    received = node.received().lower()
+    for trace in (b"secret", b"api_key", b"api%5fkey", b"bearer"):
+        assert trace not in received, received
+    path = b"GET /records/secret%2Dkey HTTP/1.1\r\nHost: a\r\n"
+    assert caller.status(path + KEY + b"\r\n") == 400
+
+
+@then("it sees the organisation of the key, and no posing fields")
+def step_pose(context):
+    node, target = world(context)
+    posing = b"Egretrock-Organisation: x\r\negretrock_organisation: x\r\n"
+    posing += b"X-Organisation: x\r\nX-Forwarded-For: x\r\nForwarded: for=x\r\n"
+    posing += b"Connection: X-Named\r\nX-Named: x\r\nKeep-Alive: x\r\n"
+    assert node.caller().status(GET + posing + b"X-Kept: y\r\n\r\n") == 200
+    lines = target.heads[0].lower().split(b"\r\n")
+    assert lines.count(b"egretrock-organisation: acme") == 1, lines
+    assert b"x-kept: y" in lines
+    assert not any(line.endswith((b": x", b"=x")) for line in lines), lines
+
+
+@then("the open connection gets 401, and so does the waiting request")
+def step_withdraw(context):
+    node, target = world(context)
+    caller = node.caller()
+    assert caller.status(GET + b"\r\n") == 200
+    permits = node.parts.permits
+    permits.held = True
+    waiting = node.caller(GET + b"\r\n")
+    wait_until(lambda: permits.asked)
+    node.publish(keys=())
+    permits.held = False
+    caller.send(GET + b"\r\n")
+    for refused in (caller, waiting):
+        check_refusal(refused, 401, "not_run")
+    assert len(target.heads) == 1
+
+
+@then("the caller gets it, and the target no whole request")
+def step_early(context):
+    node, target = world(context)
+
+    def early(connection):
+        connection.sendall(OK)
+        while target.receive(connection):
+            pass
+
+    target.script = [early]
+    head = GET.replace(b"GET", b"PUT") + b"Content-Length: 1000000\r\n\r\n"
+    status, fields, body = node.caller(head + b"a" * 100_000).answer()
+    assert (status, fields["connection"], body) == (200, "close", b"ok")
+    wait_until(lambda: target.lost == 1)
+    assert len(target.raw) < 1_000_000
+
+
+@then("the node gets a body, a failure in time and a refusal")
+def step_fetch(context):
+    node, target = world(context)
+    target.script = [OK, keep_silent]
+    fetch = (node.pool.fetch, target.address, b"/health")
+    answer = in_reactor(*fetch, 2.0)
+    assert (answer.status, answer.body) == (200, b"ok")
+    for refuses in (False, True):
+        if refuses:
+            target.close()
+        try:
+            in_reactor(*fetch, 0.1)
+        except FetchError as error:
+            assert error.refused == refuses, error
+        else:
+            raise AssertionError("an answer")
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -1,5 +1,15 @@
 """Virtual time, a lossy network and virtual targets for tests."""
 
+from egretrock_standins.virtual._fleet import (
+    PlatformView,
+    VirtualFleet,
+    VirtualProcess,
+)
+from egretrock_standins.virtual._fleet_view import (
+    FleetStandIn,
+    Published,
+    VirtualPlatform,
+)
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 from egretrock_standins.virtual._targets import (
     VirtualNode,
@@ -9,8 +19,14 @@
 
 __all__ = [
     "Faults",
+    "FleetStandIn",
+    "PlatformView",
+    "Published",
+    "VirtualFleet",
     "VirtualNetwork",
     "VirtualNode",
+    "VirtualPlatform",
+    "VirtualProcess",
     "VirtualTarget",
     "VirtualWorld",
 ]
