Take queue and retry values from their parts, use passed-on permits at once

Cause: the request path held copies of the values of the queueing and retries parts. A permit that a home on the same node passes on at the end of a call waited for the next tick, up to 20 ms. At a cut, closing the connections discarded the refusals that were just written.

Change: one definition of each value, fingerprint_of of the retries part. The end of an exchange takes the permits that came in; nested calls repeat one loop. CallerServer.close lets written bytes leave.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -1,8 +1,8 @@
 """One request: its state, and what its caller and its target tell."""
 
-import hashlib
 from typing import TYPE_CHECKING
 
+from egretrock.coordination.retries import fingerprint_of
 from egretrock.coordination.targets import CallOutcome, CallResult, Permit
 from egretrock.state.ids import (
     AttemptId,
@@ -41,7 +41,6 @@
 if TYPE_CHECKING:
     from egretrock_node.protocol.requests._pipeline import RequestPipeline
 
-_FINGERPRINT_BYTES = 4096
 #: Methods for which an empty body is announced by Content-Length.
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 
@@ -247,21 +246,14 @@
     def seal_fingerprint(self) -> Fingerprint:
         """Computes the digest that identifies equal requests."""
         head = self.head
-        digest = hashlib.blake2b(digest_size=16)
-        fields = (
-            (self.organisation or "").encode(),
-            head.method,
-            head.path,
-            self.query or b"",
-            b"%d"
-            % (-1 if head.content_length is None else head.content_length),
+        self.fingerprint = fingerprint_of(
+            self.organisation,
+            head.method.decode("latin-1"),
+            head.path.decode("latin-1"),
+            (self.query or b"").decode("latin-1"),
+            head.content_length,
+            bytes(self.body.held),
         )
-        # Lengths keep two different splits of the same bytes apart.
-        for field in fields:
-            digest.update(b"%d:" % len(field))
-            digest.update(field)
-        digest.update(self.body.held[:_FINGERPRINT_BYTES])
-        self.fingerprint = Fingerprint(digest.hexdigest())
         return self.fingerprint
 
     def send_continue(self) -> None:
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -4,6 +4,8 @@
 import itertools
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.queueing import QueuedRequest
+from egretrock.coordination.retries import CallFailure, CallState
 from egretrock.coordination.targets import (
     Assignment,
     CallOutcome,
@@ -65,10 +67,7 @@
     NO_ORGANISATION,
     BeginOutcome,
     BeginResult,
-    CallFailure,
-    CallState,
     InFlight,
-    QueuedRequest,
     RecordKey,
     Stage,
     TryFailure,
@@ -145,6 +144,8 @@
         self._suspicions = Suspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
         self._refuses_new = False
+        self._is_taking = False
+        self._take_again = False
 
     def now(self) -> float:
         """Returns the time of the node's clock, in seconds."""
@@ -182,8 +183,7 @@
             self._on_begin(result, now_s)
         for organisation in list(self._token_waiters):
             self._serve_token_waiters(organisation, now_s)
-        for assignment in self._parts.permits.poll(now_s):
-            self._on_assignment(assignment, now_s)
+        self._take_assignments(now_s)
 
     def refuse_new(self) -> None:
         """Refuses requests that start from now on; for the end of a drain."""
@@ -435,8 +435,25 @@
                 now_s,
             )
         )
-        for assignment in self._parts.permits.poll(now_s):
-            self._on_assignment(assignment, now_s)
+        self._take_assignments(now_s)
+
+    def _take_assignments(self, now_s: float) -> None:
+        """Uses the permits that came in.
+
+        The use of one may bring the next, so calls that arrive meanwhile
+        repeat the loop in place of nesting.
+        """
+        self._take_again = True
+        if self._is_taking:
+            return
+        self._is_taking = True
+        try:
+            while self._take_again:
+                self._take_again = False
+                for assignment in self._parts.permits.poll(now_s):
+                    self._on_assignment(assignment, now_s)
+        finally:
+            self._is_taking = False
 
     def _on_assignment(self, assignment: Assignment, now_s: float) -> None:
         exchange = self._waiting.pop(assignment.ticket, None)
@@ -789,19 +806,22 @@
                 exchange.slot_time_s,
             )
         self.counters.increment(f"requests.{outcome}")
-        if exchange.attempt is None or exchange.record is None:
-            return
-        self._beginning.pop(exchange.attempt, None)
-        answered = outcome == "answered"
-        self._send(
-            self._parts.idempotency.complete(
-                exchange.record,
-                exchange.attempt,
-                RunState.RUN if answered else exchange.run_state,
-                status if answered else None,
-                self.now(),
+        now_s = self.now()
+        if exchange.attempt is not None and exchange.record is not None:
+            self._beginning.pop(exchange.attempt, None)
+            answered = outcome == "answered"
+            self._send(
+                self._parts.idempotency.complete(
+                    exchange.record,
+                    exchange.attempt,
+                    RunState.RUN if answered else exchange.run_state,
+                    status if answered else None,
+                    now_s,
+                )
             )
-        )
+        if self._waiting:
+            # A home on this node may have passed the permit on at once.
+            self._take_assignments(now_s)
 
     def _expire(self, exchange: Exchange) -> None:
         self.withdraw(exchange, CallOutcome.TIMEOUT)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -7,6 +7,12 @@
 from expression import Result
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.queueing import QueuedRequest
+from egretrock.coordination.retries import (
+    CallFailure,
+    CallState,
+    RetryDecision,
+)
 from egretrock.coordination.targets import Assignment, CallResult, Permit
 from egretrock.state.config import PublishedConfig
 from egretrock.state.ids import (
@@ -23,12 +29,8 @@
 from egretrock_node.protocol.http import AnswerHead
 from egretrock_node.protocol.requests._values import (
     BeginResult,
-    CallFailure,
-    CallState,
     OutgoingRequest,
-    QueuedRequest,
     RecordKey,
-    RetryDecision,
     TryFailure,
 )
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -6,13 +6,9 @@
 
 from egretrock.state.ids import (
     AttemptId,
-    Fingerprint,
     OrganisationId,
     RequestId,
     RouteId,
-    ServiceId,
-    TargetId,
-    TicketId,
 )
 from egretrock.state.outcome import RetryReason, RunState
 from egretrock_node.protocol.http import HeaderList
@@ -90,41 +86,6 @@
     refused: bool = False
 
 
-class QueuedRequest(msgspec.Struct, frozen=True):
-    """One waiting request."""
-
-    ticket: TicketId
-    service: ServiceId
-    organisation: OrganisationId
-    deadline_s: float
-
-
-class CallState(msgspec.Struct, frozen=True):
-    """One call, before the retry that is asked for."""
-
-    service: ServiceId
-    idempotent: bool
-    tries: int
-    tried: frozenset[TargetId]
-    deadline_s: float
-    answer_started: bool = False
-    fingerprint: Fingerprint | None = None
-
-
-class CallFailure(msgspec.Struct, frozen=True):
-    """How the last try failed."""
-
-    reason: RetryReason
-    bytes_sent: bool
-    instance_alive: bool | None = None
-
-
-class RetryDecision(msgspec.Struct, frozen=True):
-    """Answer of the policy."""
-
-    allowed: bool
-
-
 class RecordKey(msgspec.Struct, frozen=True):
     """Key of an idempotency record."""
 
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -6,6 +6,7 @@
 
 from expression import Ok
 
+from egretrock.coordination.retries import RetryDecision
 from egretrock.coordination.targets import Assignment, Permit
 from egretrock.state.config import (
     Access,
@@ -30,7 +31,6 @@
     Parts,
     PipelineSettings,
     RequestPipeline,
-    RetryDecision,
 )
 
 KEY = "secret-key"
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -139,10 +139,10 @@
             self._port = None
 
     def close(self) -> None:
-        """Breaks all connections; for the end of a drain."""
+        """Closes all connections, once what was written to them has left."""
         self.drain()
         for channel in list(self._channels):
-            channel.transport.abortConnection()
+            channel.loseConnection()
 
     def sweep(self, now_s: float) -> None:
         """Applies the time limits; call it every second."""
