Let the buckets fill before the demo's first step

Cause: buckets start empty, so the first request after the start was refused with over_rate. Change: the demo waits 1 s, in which both bursts are minted.

--- a/packages/egretrock-standins/src/egretrock_standins/demo/__main__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/demo/__main__.py
@@ -24,6 +24,8 @@
 REQUEST_INTERVAL_S = 0.1
 OVER_RATE_REQUESTS = 30
 WITHDRAWAL_TIMEOUT_S = 15.0
+#: Buckets start empty; both organisations' bursts are minted in this time.
+BUCKET_FILL_S = 1.0
 DATA_CENTRE_TIMEOUT_S = 15.0
 
 
@@ -220,6 +222,7 @@
     with Fleet(demo_plan()) as fleet:
         for organisation in fleet.keys:
             fleet.wait_serving("/records/0", fleet.keys[organisation])
+        time.sleep(BUCKET_FILL_S)
         for number, (title, step) in enumerate(STEPS, 1):
             print(f"{number}. {title}", flush=True)
             try:
