--- a/packages/egretrock-node/src/egretrock_node/tests/path_world.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_world.py
@@ -40,6 +40,13 @@
         time.sleep(0.005)
 
 
+def start_reactor():
+    """Runs the reactor in a thread; later calls change nothing."""
+    if not reactor.running:
+        threading.Thread(target=reactor.run, args=(False,), daemon=True).start()
+        wait_until(lambda: reactor.running)
+
+
 def in_reactor(function, *args):
     return blockingCallFromThread(reactor, function, *args)
 
@@ -48,11 +55,7 @@
     """One node and its targets; close it after the scenario."""
 
     def __init__(self, target_count=1, deadline_ms=10_000, **settings):
-        if not reactor.running:
-            threading.Thread(
-                target=reactor.run, args=(False,), daemon=True
-            ).start()
-            wait_until(lambda: reactor.running)
+        start_reactor()
         self.targets = [RecordingTarget() for _ in range(target_count)]
         self.addresses = [target.address for target in self.targets]
         self.parts = make_parts(make_config(self.addresses, deadline_ms))
