--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -370,6 +370,15 @@
             if target not in client.doubted
         }
 
+    def in_flight(self, service: ServiceId) -> dict[TargetId, int]:
+        """Returns the permits in use by this node, by target."""
+        counts: dict[TargetId, int] = {}
+        for held in self._service(service).held.values():
+            if held.assigned:
+                target = held.permit.target
+                counts[target] = counts.get(target, 0) + 1
+        return counts
+
     # Time and messages.
 
     def on_tick(self, now_s: float) -> list[Outbound]:
--- a/packages/egretrock-ctl/src/egretrock_ctl/_render.py
+++ b/packages/egretrock-ctl/src/egretrock_ctl/_render.py
@@ -33,7 +33,8 @@
     lines += ["", "targets"]
     lines += [
         f"  {entry.service}/{entry.target:<16} {entry.data_centre:<12}"
-        f" {entry.state:<10} home {entry.home or '-'}"
+        f" {entry.state:<10} {entry.in_flight} in flight,"
+        f" home {entry.home or '-'}"
         for entry in status.targets
     ]
     lines += ["", "counters"]
--- a/packages/egretrock-node/src/egretrock_node/daemon/_status.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_status.py
@@ -105,6 +105,7 @@
             partition = partition_of("service", service)
             home = fleet.partition_holder(partition, now_s)
             known = client.known_targets(service, now_s)
+            counts = client.in_flight(service)
             for name, target in sorted(published.targets.items()):
                 summary = known.get(name)
                 state = summary.trust.name.lower() if summary else "unknown"
@@ -114,6 +115,7 @@
                         name,
                         target.data_centre,
                         home,
+                        counts.get(name, 0),
                         state,
                     )
                 )
--- a/packages/egretrock-node/src/egretrock_node/protocol/status/_status.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/status/_status.py
@@ -66,6 +66,7 @@
         target: The target.
         data_centre: Its data centre.
         home: Node that hands out its permits.
+        in_flight: Requests of this node that run there.
         state: What this node knows of it, such as ``warm`` or ``cold``.
     """
 
@@ -73,6 +74,7 @@
     target: TargetId
     data_centre: DataCentreId
     home: NodeId | None
+    in_flight: int
     state: str
 
 
