--- a/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
@@ -158,6 +158,8 @@
         self._plan(name, max(0.0, _MIN_INTERVAL_S - spent_s))
 
     def _on_failure(self, failure: Any, name: DocumentName) -> None:
+        if self._is_closed:
+            return
         self._counters.increment("platform.read_failures")
         if not failure.check(HttpFetchError):
             # The sink failed. The watch goes on, because it is the only
