Drive the timers of a node every 20 ms

Cause: in the profile of an idle node the wake-ups of the reactor lead; no part asks for a step below 20 ms.

--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -64,7 +64,7 @@
 _log = logbook.Logger("egretrock.node")
 
 #: Steps of the reactor's clock that drive the timer service.
-_CLOCK_STEP_S = 0.01
+_CLOCK_STEP_S = 0.02
 #: Permits, grants and deadlines are counted in tens of milliseconds.
 _REQUEST_TICK_S = 0.02
 _FLEET_TICK_S = 0.1
