--- a/packages/egretrock-core/src/egretrock/coordination/retries/_quarantine.py
+++ b/packages/egretrock-core/src/egretrock/coordination/retries/_quarantine.py
@@ -224,12 +224,7 @@
         listed = frozenset(self._peers())
         for node in self._states.keys() - listed:
             del self._states[node]
-        out = self._send(now_s)
-        if not self._pulled and now_s >= self._pull_due_s:
-            self._pull_due_s = now_s + MAX_RESEND_S / 2
-            others = sorted(listed - {self._node})
-            out += [Outbound(node, EvidencePull()) for node in others]
-        return out
+        return self._send(now_s) + self._pull(listed, now_s)
 
     def on_message(
         self, sender: Peer, body: Message, now_s: float
@@ -359,16 +354,28 @@
         out = []
         for node, state in self._states.items():
             if state.batches and now_s >= state.due_s:
-                self._counters.increment("quarantine.resent")
-                for keys in state.batches.values():
-                    state.unsent.update(dict.fromkeys(keys))
-                state.batches.clear()
-                state.resend_s = min(MAX_RESEND_S, state.resend_s * 2)
+                self._repeat(state)
             if state.unsent:
                 out += self._send_batches(node, state, now_s)
                 state.due_s = now_s + state.resend_s
         return out
 
+    def _repeat(self, state: _PeerState) -> None:
+        """Plans to send again what was not acknowledged."""
+        self._counters.increment("quarantine.resent")
+        for keys in state.batches.values():
+            state.unsent.update(dict.fromkeys(keys))
+        state.batches.clear()
+        state.resend_s = min(MAX_RESEND_S, state.resend_s * 2)
+
+    def _pull(self, listed: frozenset[NodeId], now_s: float) -> list[Outbound]:
+        """Asks for the evidence noted before this process started."""
+        if self._pulled or now_s < self._pull_due_s:
+            return []
+        self._pull_due_s = now_s + MAX_RESEND_S / 2
+        others = sorted(listed - {self._node})
+        return [Outbound(node, EvidencePull()) for node in others]
+
     def _send_batches(
         self, node: NodeId, state: _PeerState, now_s: float
     ) -> list[Outbound]:
