Measure a heartbeat as a datagram and over HTTP; keep homes between events

Change: slopes.peers measures both ways in one run, by the processor time of the reactor's thread. Fleet keeps the homes that were asked for until the next message, tick or read. FleetHistory moves from the tests to the stand-ins.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -1,5 +1,6 @@
 """The fleet part: freshness, membership and exclusive homes."""
 
+import dataclasses
 import functools
 import random
 
@@ -60,6 +61,24 @@
 
 #: Heartbeats are spread by this share, so that nodes do not fall into step.
 _JITTER = 0.1
+_MAX_KEPT_HOMES = 4096
+
+
+@dataclasses.dataclass
+class _HomeView:
+    """Homes as of the latest event, kept because each request asks for one.
+
+    Attributes:
+        candidates: Nodes that may be homes.
+        until_s: Until when the view may be used.
+        homes: Homes by hashing that were asked for.
+        holders: Likely holders of partitions that were asked for.
+    """
+
+    candidates: frozenset[NodeId]
+    until_s: float
+    homes: dict[tuple[str, str], NodeId | None]
+    holders: dict[int, NodeId | None]
 
 
 class Fleet:
@@ -122,6 +141,7 @@
         self._holder = self.holder_type(self._lists, settings.vote_s)
         self._is_released = False
         self._fresh_until_s = NEVER_S
+        self._view: _HomeView | None = None
         self._next_heartbeat_s = now_s + settings.heartbeat_s * rng.random()
 
     # Documents.
@@ -149,6 +169,7 @@
         Returns:
             Heartbeats that announce a new revision at once.
         """
+        self._view = None
         store = self._stores[document]
         offer = store.offer(revision, value, now_s)
         self._counters.increment(f"fleet.{document.value}.{offer.value}")
@@ -245,13 +266,24 @@
         self, kind: str, name: str, now_s: float
     ) -> NodeId | None:
         """Returns the home by hashing; two nodes may disagree on it."""
-        candidates = self._candidates(now_s)
-        return rendezvous_first(f"{kind}\0{name}", candidates)
+        view = self._home_view(now_s)
+        key = (kind, name)
+        if key not in view.homes:
+            if len(view.homes) >= _MAX_KEPT_HOMES:
+                view.homes.clear()
+            view.homes[key] = rendezvous_first(
+                f"{kind}\0{name}", view.candidates
+            )
+        return view.homes[key]
 
     def partition_holder(self, partition: int, now_s: float) -> NodeId | None:
         """Returns the likely holder of a partition, or None."""
-        self._placement.update(self._candidates(now_s), now_s)
-        return self._chosen(partition, self._claims(now_s), now_s)
+        view = self._home_view(now_s)
+        if partition not in view.holders:
+            self._placement.update(view.candidates, now_s)
+            claims = self._claims(now_s)
+            view.holders[partition] = self._chosen(partition, claims, now_s)
+        return view.holders[partition]
 
     def holds(self, partition: int, now_s: float) -> bool:
         """Returns whether this process is the only holder at ``now_s``."""
@@ -294,6 +326,7 @@
             partitions: Which; None for a planned stop, after which this
                 process holds no partition and is no home any more.
         """
+        self._view = None
         if partitions is None:
             self._is_released = True
             partitions = ALL_PARTITIONS
@@ -312,6 +345,7 @@
             self._lists_changed(now_s)
         if now_s < self._next_heartbeat_s:
             return []
+        self._view = None
         self._reconsider(now_s)
         self._counters.gauge("fleet.fresh", float(self.is_fresh(now_s)))
         held = len(self._holder.held(now_s))
@@ -337,6 +371,7 @@
         if state is None:
             self._counters.increment("fleet.messages.ended_process")
             return []
+        self._view = None
         self._take(body, state, now_s)
         return []
 
@@ -485,6 +520,21 @@
             and now_s >= self._bootstrap.exclusive_from_s
         )
 
+    def _home_view(self, now_s: float) -> _HomeView:
+        view = self._view
+        if view is not None and now_s <= view.until_s:
+            return view
+        candidates = self._candidates(now_s)
+        heard = [
+            state.heard_s
+            for node in candidates
+            if (state := self._peers.get(node)) is not None
+        ]
+        alive_s = min(heard, default=now_s) + self.settings.alive_s
+        until_s = min(alive_s, now_s + self.settings.heartbeat_s)
+        self._view = _HomeView(candidates, until_s, {}, {})
+        return self._view
+
     def _candidates(self, now_s: float) -> frozenset[NodeId]:
         value = self._vms.value
         if value is None:
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_scripts.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_scripts.py
@@ -5,8 +5,6 @@
 
 import random
 
-from fleet_history import World, config_json, node, vms_json
-
 from egretrock.coordination.base import Peer
 from egretrock.coordination.fleet import (
     DocumentName,
@@ -15,7 +13,13 @@
     Release,
     format_partitions,
 )
-from egretrock_standins.virtual import PlatformView
+from egretrock_standins.virtual import (
+    FleetHistory,
+    PlatformView,
+    config_json,
+    node,
+    vms_json,
+)
 
 ALL = format_partitions(range(64))
 
@@ -29,8 +33,8 @@
             FleetSettings(nodes[0]), incarnation, random.Random(incarnation), 0
         )
         self.questions = {}
-        self.read(0.0, 0.0, vms_json(nodes).encode())
-        self.read(0.0, 0.0, config_json(5).encode(), DocumentName.CONFIG)
+        self.read(0.0, 0.0, vms_json(nodes))
+        self.read(0.0, 0.0, config_json(5), DocumentName.CONFIG)
 
     def read(self, sent_s, now_s, value=None, name=DocumentName.VMS):
         self.fleet.on_document(name, 1, value, sent_s, now_s)
@@ -141,7 +145,7 @@
 
 def forgotten_revision(fleet_type):
     """Of three nodes one misses a revision, and one that has it restarts."""
-    world = World(5, 3, fleet_type)
+    world = FleetHistory(5, 3, fleet_type)
     world.get_ready()
     first, second, third = world.listed
     world.sim.set_view(second, PlatformView.STALE)
@@ -158,7 +162,7 @@
 
 def cut_off_majority(fleet_type):
     """A majority of a replaced list does not learn of the new one."""
-    world = World(6, 5, fleet_type)
+    world = FleetHistory(6, 5, fleet_type)
     world.get_ready()
     cut_off = world.listed[2:]
     for name in cut_off:
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_steps.py
@@ -1,16 +1,20 @@
 import msgspec
 from behave import given, then, when
-from fleet_history import World, config_json
 
 from egretrock.coordination.fleet import (
     DocumentName,
 )
-from egretrock_standins.virtual import Faults, PlatformView
+from egretrock_standins.virtual import (
+    Faults,
+    FleetHistory,
+    PlatformView,
+    config_json,
+)
 
 
 @given("a ready fleet of {count:d} nodes")
 def step_ready(context, count):
-    context.world = World(1, count)
+    context.world = FleetHistory(1, count)
     context.world.get_ready()
     context.node = context.world.listed[-1]
 
@@ -68,7 +72,7 @@
 
 @when("all nodes restart")
 def step_restart_all(context):
-    context.world.do_restart_all(None, None)
+    context.world.act("restart_all", 0, 0)
 
 
 @then("it is ready {seconds:d} s later")
@@ -111,7 +115,7 @@
 
 @when("the rate of an organisation grows to {rate:d}")
 def step_grow(context, rate):
-    value = config_json(rate).encode()
+    value = config_json(rate)
     context.process = context.world.sim.processes[context.node]
     now_s = context.process.now_s()
     context.process.fleet.on_document(
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/histories_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/histories_steps.py
@@ -3,21 +3,20 @@
 from fleet_history import (
     NETWORK,
     PLATFORM,
-    PlatformView,
-    World,
     for_all,
     plans,
     run_plan,
 )
 
 from egretrock.coordination.fleet import Fleet
+from egretrock_standins.virtual import FleetHistory, PlatformView
 
 RESTARTS = ("kill", "restart_any", "restart_all", "release", "platform_stale")
 PUBLICATIONS = (*NETWORK, *PLATFORM, "restart", "publish")
 CHANGES = ("add_vm", "remove_vm", "replace_vm")
 
 
-class RestartWorld(World):
+class RestartWorld(FleetHistory):
     """Whole-fleet restarts may forget a revision, but not a vote."""
 
     def check_freshness(self):
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/slopes/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements of single costs, each a module that is run by hand."""
+
+__all__: list[str] = []
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/slopes/peers.py
@@ -0,0 +1,368 @@
+"""Processor time of a heartbeat between nodes: datagram against HTTP.
+
+Run with ``python -m egretrock_standins.slopes.peers``. The measured side runs
+in the reactor's thread, and only the processor time of this thread counts;
+the other side is a plain socket in a second thread. Both ways carry the same
+heartbeat in the same envelope.
+"""
+
+import random
+import socket
+import statistics
+import threading
+import time
+from collections.abc import Callable
+from typing import Any
+
+import cyclopts
+import msgspec
+from twisted.internet import defer, error, reactor
+from twisted.web import client, iweb, resource, server
+from zope.interface import implementer
+
+from egretrock.coordination.base import (
+    Message,
+    NullCounters,
+    Outbound,
+    Peer,
+)
+from egretrock.coordination.fleet import (
+    DocumentName,
+    Fleet,
+    FleetSettings,
+    Heartbeat,
+    Release,
+)
+from egretrock.state.ids import Incarnation, NodeId, Revision
+from egretrock_node.protocol.peers import Codec
+from egretrock_node.transport.clock import boot_time_s
+from egretrock_node.transport.peers import PeerEndpoint
+
+app = cyclopts.App(name="peers")
+PEER_COUNT = 18
+TYPES = [Heartbeat, Release]
+_TIMEOUT_S = 60.0
+#: Datagrams under way at once; more would overflow the socket buffer.
+_WINDOW = 50
+_HEAD_END = b"\r\n\r\n"
+_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Cost(msgspec.Struct, frozen=True):
+    """Processor time of one kind of event, in microseconds."""
+
+    name: str
+    rounds_us: list[float]
+
+    def __str__(self) -> str:
+        """Returns one line of the table."""
+        middle = statistics.median(self.rounds_us)
+        least, most = min(self.rounds_us), max(self.rounds_us)
+        return f"{self.name:46} {middle:8.1f} ({least:.1f} to {most:.1f})"
+
+
+def heartbeat(question: int) -> Heartbeat:
+    """Returns a heartbeat as a node of a fleet of 19 sends it."""
+    return Heartbeat(
+        question=question,
+        answered=3_000_000_000,
+        config_seen=Revision(1234),
+        vms_in_force=Revision(123),
+        held="aZ3_",
+        votes="bcde",
+    )
+
+
+def plain_udp() -> socket.socket:
+    """Returns a bound plain UDP socket."""
+    plain = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    plain.bind(("127.0.0.1", 0))
+    plain.settimeout(_TIMEOUT_S)
+    return plain
+
+
+def node_of(plain: socket.socket) -> NodeId:
+    """Returns the address of a socket as a node id."""
+    host, port = plain.getsockname()
+    return NodeId(f"{host}:{port}")
+
+
+def open_endpoint(
+    handler: Callable[[Peer, Message, float], list[Outbound]],
+) -> tuple[PeerEndpoint, NodeId]:
+    """Opens an endpoint on a free port."""
+    with plain_udp() as free:
+        node = node_of(free)
+    codec = Codec(Peer(node, Incarnation(2**63)), TYPES)
+    endpoint = PeerEndpoint(
+        reactor, node, codec, handler, boot_time_s, NullCounters()
+    )
+    endpoint.start()
+    return endpoint, node
+
+
+def drop(sender: Peer, body: Message, now_s: float) -> list[Outbound]:
+    """Takes a message and does nothing."""
+    del sender, body, now_s
+    return []
+
+
+@defer.inlineCallbacks
+def sent_datagrams(count: int) -> Any:
+    """Measures one heartbeat a peer and turn, as a node sends them."""
+    endpoint, _ = open_endpoint(drop)
+    plains = [plain_udp() for _ in range(PEER_COUNT)]
+    nodes = [node_of(plain) for plain in plains]
+    start_s = time.thread_time()
+    for number in range(count):
+        node = nodes[number % PEER_COUNT]
+        endpoint.send([Outbound(node, heartbeat(number))])
+        if number % PEER_COUNT == PEER_COUNT - 1:
+            yield turn()
+    yield turn()
+    spent_s = time.thread_time() - start_s
+    for plain in plains:
+        plain.close()
+    yield endpoint.close()
+    return spent_s / count * 1e6
+
+
+def turn() -> defer.Deferred[None]:
+    """Returns a deferred that fires in a later turn of the reactor."""
+    done: defer.Deferred[None] = defer.Deferred()
+    reactor.callLater(0, done.callback, None)
+    return done
+
+
+@defer.inlineCallbacks
+def received_datagrams(count: int, with_fleet: bool) -> Any:
+    """Measures decoding, and taking by the fleet part if asked for."""
+    plains = [plain_udp() for _ in range(PEER_COUNT)]
+    taken = threading.Semaphore(_WINDOW)
+    done: defer.Deferred[None] = defer.Deferred()
+    left = count
+
+    def handle(sender: Peer, body: Message, now_s: float) -> list[Outbound]:
+        nonlocal left
+        if with_fleet:
+            fleet.on_message(sender, body, now_s)
+        taken.release()
+        left -= 1
+        if left == 0:
+            done.callback(None)
+        return []
+
+    endpoint, node = open_endpoint(handle)
+    fleet = make_fleet(node, [node_of(plain) for plain in plains])
+    host, port = node.split(":")
+    codecs = [
+        Codec(Peer(node_of(plain), Incarnation(2**63 + 1)), TYPES)
+        for plain in plains
+    ]
+
+    def send_all() -> None:
+        for number in range(count):
+            if not taken.acquire(timeout=_TIMEOUT_S):
+                return
+            data = next(
+                codecs[number % PEER_COUNT].encode([heartbeat(number + 1)])
+            )
+            plains[number % PEER_COUNT].sendto(data, (host, int(port)))
+
+    start_s = time.thread_time()
+    threading.Thread(target=send_all, daemon=True).start()
+    yield done.addTimeout(_TIMEOUT_S, reactor)
+    spent_s = time.thread_time() - start_s
+    for plain in plains:
+        plain.close()
+    yield endpoint.close()
+    return spent_s / count * 1e6
+
+
+def make_fleet(node: NodeId, peers: list[NodeId]) -> Fleet:
+    """Returns a fleet part with a VM list."""
+    now_s = boot_time_s()
+    fleet = Fleet(FleetSettings(node), Incarnation(1), random.Random(1), now_s)
+    vms = {name: {"data_centre": "a"} for name in [node, *peers]}
+    value = msgspec.json.encode({"vms": vms})
+    fleet.on_document(DocumentName.VMS, Revision(1), value, now_s, now_s)
+    empty = ("data_centres", "profiles", "services", "routes", "keys")
+    tree: dict[str, Any] = {name: {} for name in empty}
+    value = msgspec.json.encode(tree | {"organisations": {}})
+    fleet.on_document(DocumentName.CONFIG, Revision(1), value, now_s, now_s)
+    return fleet
+
+
+@implementer(iweb.IBodyProducer)
+class _Body:
+    """A request body that is written at once."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+        self.length = len(data)
+
+    def startProducing(self, consumer: Any) -> defer.Deferred[None]:  # noqa: N802
+        consumer.write(self._data)
+        return defer.succeed(None)
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Does nothing; the body is written at once."""
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing; the body is written at once."""
+
+
+@defer.inlineCallbacks
+def sent_requests(count: int) -> Any:
+    """Measures twisted.web's client with a persistent connection."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    listener.settimeout(_TIMEOUT_S)
+    threading.Thread(
+        target=answer_requests, args=(listener, count), daemon=True
+    ).start()
+    pool = client.HTTPConnectionPool(reactor)
+    agent = client.Agent(reactor, pool=pool)
+    url = f"http://{node_of(listener)}/messages".encode()
+    codec = Codec(Peer(NodeId("127.0.0.1:1"), Incarnation(2**63)), TYPES)
+    start_s = time.thread_time()
+    for number in range(count):
+        data = next(codec.encode([heartbeat(number)]))
+        response = yield agent.request(b"POST", url, None, _Body(data))
+        yield client.readBody(response)
+    spent_s = time.thread_time() - start_s
+    yield pool.closeCachedConnections()
+    listener.close()
+    return spent_s / count * 1e6
+
+
+def answer_requests(listener: socket.socket, count: int) -> None:
+    """Answers requests on one connection."""
+    connection, _ = listener.accept()
+    connection.settimeout(_TIMEOUT_S)
+    with connection:
+        for _ in range(count):
+            read_message(connection)
+            connection.sendall(_ANSWER)
+
+
+def read_message(connection: socket.socket) -> None:
+    """Reads one HTTP message with a content length."""
+    data = b""
+    while _HEAD_END not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return
+        data += piece
+    head, _, body = data.partition(_HEAD_END)
+    fields = head.lower().split(b"content-length: ")
+    length = int(fields[1].split(b"\r\n")[0]) if len(fields) > 1 else 0
+    while len(body) < length:
+        body += connection.recv(65536)
+
+
+class _Page(resource.Resource):
+    """Decodes the body of a POST as a datagram."""
+
+    isLeaf = True  # noqa: N815 - the name twisted.web reads
+
+    def __init__(self, codec: Codec) -> None:
+        super().__init__()
+        self._codec = codec
+
+    def render_POST(self, request: server.Request) -> bytes:  # noqa: N802
+        self._codec.decode(request.content.read())
+        return b"ok"
+
+
+@defer.inlineCallbacks
+def received_requests(count: int) -> Any:
+    """Measures twisted.web's server with a persistent connection."""
+    codec = Codec(Peer(NodeId("127.0.0.1:1"), Incarnation(2**63)), TYPES)
+    site = server.Site(_Page(codec))
+    site.log = lambda request: None
+    port = reactor.listenTCP(0, site, interface="127.0.0.1")
+    done: defer.Deferred[None] = defer.Deferred()
+
+    def send_all() -> None:
+        address = ("127.0.0.1", port.getHost().port)
+        with socket.create_connection(address, _TIMEOUT_S) as connection:
+            for number in range(count):
+                data = next(codec.encode([heartbeat(number)]))
+                head = (
+                    "POST /messages HTTP/1.1\r\nHost: a\r\n"
+                    f"Content-Length: {len(data)}\r\n\r\n"
+                )
+                connection.sendall(head.encode() + data)
+                read_message(connection)
+        reactor.callFromThread(done.callback, None)
+
+    start_s = time.thread_time()
+    threading.Thread(target=send_all, daemon=True).start()
+    yield done.addTimeout(_TIMEOUT_S, reactor)
+    spent_s = time.thread_time() - start_s
+    yield port.stopListening()
+    return spent_s / count * 1e6
+
+
+@defer.inlineCallbacks
+def measure(count: int, rounds: int) -> Any:
+    """Runs each measurement in turn, ``rounds`` times."""
+    ways: dict[str, Callable[[], Any]] = {
+        "datagram sent": lambda: sent_datagrams(count),
+        "datagram received": lambda: received_datagrams(count, False),
+        "datagram received, taken by the fleet part": (
+            lambda: received_datagrams(count, True)
+        ),
+        "HTTP request sent, answer read": lambda: sent_requests(count),
+        "HTTP request received, answered": lambda: received_requests(count),
+    }
+    figures: dict[str, list[float]] = {name: [] for name in ways}
+    for _ in range(rounds):
+        for name, run in ways.items():
+            figure = yield run()
+            figures[name].append(figure)
+    return [Cost(name, rounds_us) for name, rounds_us in figures.items()]
+
+
+@app.default
+def main(count: int = 5000, rounds: int = 5) -> int:
+    """Prints microseconds of processor time, median and range of rounds.
+
+    Args:
+        count: Heartbeats in each measurement, at most 100,000.
+        rounds: Repetitions of each measurement, at most 20.
+    """
+    if not (0 < count <= 100_000 and 0 < rounds <= 20):
+        print("allowed are 1 to 100,000 heartbeats and 1 to 20 rounds")
+        return 2
+    outcome: list[Any] = []
+
+    def start() -> None:
+        done = measure(count, rounds)
+        done.addBoth(outcome.append)
+        done.addBoth(lambda _: stop())
+
+    def stop() -> None:
+        try:
+            reactor.stop()
+        except error.ReactorNotRunning:
+            return
+
+    reactor.callWhenRunning(start)
+    reactor.run()
+    if not isinstance(outcome[0], list):
+        print(outcome[0])
+        return 1
+    codec = Codec(Peer(NodeId("10.0.0.12:7000"), Incarnation(2**63)), TYPES)
+    body = heartbeat(3_000_000_000)
+    size = len(next(codec.encode([body])))
+    print(f"heartbeat: body {len(msgspec.json.encode(body))} bytes,")
+    print(f"datagram {size} bytes; {PEER_COUNT} a second: {PEER_COUNT * size}")
+    print("microseconds of processor time, median (range):")
+    for cost in outcome[0]:
+        print(cost)
+    return 0
+
+
+if __name__ == "__main__":
+    app()
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -10,6 +10,12 @@
     Published,
     VirtualPlatform,
 )
+from egretrock_standins.virtual._history import (
+    FleetHistory,
+    config_json,
+    node,
+    vms_json,
+)
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 from egretrock_standins.virtual._targets import (
     VirtualNode,
@@ -19,6 +25,7 @@
 
 __all__ = [
     "Faults",
+    "FleetHistory",
     "FleetStandIn",
     "PlatformView",
     "Published",
@@ -29,4 +36,7 @@
     "VirtualProcess",
     "VirtualTarget",
     "VirtualWorld",
+    "config_json",
+    "node",
+    "vms_json",
 ]
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_history.py
@@ -0,0 +1,305 @@
+"""A virtual fleet that is watched for what must never happen."""
+
+import json
+import random
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from egretrock.coordination.base import PARTITION_COUNT
+from egretrock.coordination.fleet import (
+    DocumentName,
+    Fleet,
+    FleetSettings,
+    FleetStatus,
+)
+from egretrock.state.ids import NodeId, Revision
+from egretrock_standins.virtual._fleet import (
+    PlatformView,
+    VirtualFleet,
+    VirtualProcess,
+)
+from egretrock_standins.virtual._network import Faults
+
+FRESHNESS_S = FleetSettings(NodeId("127.0.0.1:1")).freshness_s
+STEP_S = 0.05
+_CLOCK_FACTOR = 1.01
+_START_S = 15.0
+
+
+def node(number: int) -> NodeId:
+    """Returns the id of a virtual node."""
+    return NodeId(f"127.0.0.{number + 1}:7000")
+
+
+def vms_json(nodes: Iterable[NodeId]) -> bytes:
+    """Returns a VM list."""
+    return json.dumps(
+        {"vms": {n: {"data_centre": "a"} for n in nodes}}
+    ).encode()
+
+
+def config_json(rate_per_s: float) -> bytes:
+    """Returns a configuration whose organisation ``o`` has a rate."""
+    names = ("data_centres", "profiles", "services", "routes", "keys")
+    value: dict[str, Any] = {name: {} for name in names}
+    value["organisations"] = {"o": {"rate_per_s": rate_per_s, "burst": 10}}
+    return json.dumps(value).encode()
+
+
+class FleetHistory:
+    """Runs a virtual fleet and collects violations of its guarantees.
+
+    Checked are: one holder of a partition; no revision in force becomes
+    older; a configuration that a majority has is known wherever requests are
+    admitted ``FRESHNESS_S`` plus ``exchange_s`` later; usable shares of fresh
+    nodes add up to 1 at most. Stopped processes are included, because they
+    may go on at any time.
+
+    Args:
+        seed: Seed of all faults and delays.
+        count: Number of nodes.
+        fleet_type: ``Fleet``, or a subclass with a rule switched off.
+        faults: Faults of the network once the fleet is ready.
+
+    Attributes:
+        violations: What was found, as text with the virtual time.
+        exchange_s: Seconds that a revision may take to a node that reads a
+            stale replica.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        count: int,
+        fleet_type: type[Fleet] = Fleet,
+        faults: Faults | None = None,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.faults = faults or Faults()
+        self.sim = VirtualFleet(self.rng, Faults(), fleet_type=fleet_type)
+        self.listed = [node(number) for number in range(count)]
+        self.violations: list[str] = []
+        self.exchange_s = 0.0
+        self._majority_s: dict[Revision, float] = {}
+        self._held: dict[VirtualProcess, set[int]] = {}
+        self._revisions: dict[tuple[VirtualProcess, DocumentName], int] = {}
+        self._started_count = 0
+        self.publish_vms()
+        self.publish_config()
+        for name in self.listed:
+            self.sim.start(name)
+        self.sim.observers += [self.check_exclusive, self.check_revisions]
+
+    def publish_vms(self) -> None:
+        """Publishes the VM list."""
+        self.sim.publish(DocumentName.VMS, vms_json(self.listed))
+
+    def publish_config(self) -> None:
+        """Publishes a configuration with a random rate."""
+        value = config_json(self.rng.randint(1, 100))
+        self.sim.publish(DocumentName.CONFIG, value)
+
+    def get_ready(self) -> None:
+        """Starts the fleet, then lets the faults of the network begin.
+
+        Raises:
+            AssertionError: If a node is not ready in time.
+        """
+        self.advance(_START_S)
+        for name in self.sim.processes:
+            if not self.status(name).ready:
+                raise AssertionError(f"{name}: {self.status(name)}")
+        held = sum(len(self.held(name)) for name in self.listed)
+        if held != PARTITION_COUNT:
+            raise AssertionError(f"{held} partitions are held")
+        self.sim.network.faults = self.faults
+
+    def advance(self, seconds: float) -> None:
+        """Lets virtual time pass and checks at each step."""
+        for _ in range(round(seconds / STEP_S)):
+            self.sim.run(STEP_S)
+            self.check_freshness()
+            self.check_shares()
+
+    def status(self, name: NodeId) -> FleetStatus:
+        """Returns the status of a running node."""
+        process = self.sim.processes[name]
+        return process.fleet.status(process.now_s())
+
+    def held(self, name: NodeId) -> set[int]:
+        """Returns the partitions that a running node holds."""
+        process = self.sim.processes[name]
+        now_s = process.now_s()
+        return {
+            partition
+            for partition in range(PARTITION_COUNT)
+            if process.fleet.holds(partition, now_s)
+        }
+
+    def fresh(self) -> Iterator[tuple[VirtualProcess, float]]:
+        """Yields the fresh processes with the times of their clocks."""
+        for process in self.sim.processes.values():
+            now_s = process.now_s()
+            if process.fleet.is_fresh(now_s):
+                yield process, now_s
+
+    def check_exclusive(self, process: VirtualProcess) -> None:
+        """Checks after each action that a partition has one holder.
+
+        A holding begins only when its process acts, so this sees each second
+        holder, however short.
+        """
+        held = self.held(process.node)
+        gained = held - self._held.get(process, set())
+        self._held[process] = held
+        if not gained:
+            return
+        for other in self.sim.processes.values():
+            both = gained & self.held(other.node)
+            if other is not process and both:
+                self._violate(
+                    f"partitions {sorted(both)[:3]} of {other.node} are "
+                    f"held by {process.node} too"
+                )
+
+    def check_revisions(self, process: VirtualProcess) -> None:
+        """Checks after each action that no revision became older."""
+        for name in DocumentName:
+            revision = process.fleet.revision(name)
+            before = self._revisions.get((process, name), 0)
+            if revision < before:
+                self._violate(f"{name} {before} became {revision}")
+            self._revisions[process, name] = revision
+
+    def check_freshness(self) -> None:
+        """Checks that a revision of a majority is known where work runs."""
+        now_s = self.sim.network.now_s
+        known = [
+            process.fleet.seen_revision(DocumentName.CONFIG)
+            for name, process in self.sim.processes.items()
+            if name in self.listed
+            and process.fleet.usable_share(process.now_s()) > 0
+        ]
+        enough = len(self.listed) // 2 + 1
+        if len(known) >= enough:
+            accepted = sorted(known, reverse=True)[enough - 1]
+            self._majority_s.setdefault(accepted, now_s)
+        limit_s = now_s - FRESHNESS_S * _CLOCK_FACTOR - self.exchange_s
+        due = [
+            r for r, since_s in self._majority_s.items() if since_s < limit_s
+        ]
+        for process, _ in self.fresh():
+            seen = process.fleet.seen_revision(DocumentName.CONFIG)
+            if seen < max(due, default=0):
+                self._violate(
+                    f"{process.node} admits by {seen}, not {max(due)}"
+                )
+
+    def check_shares(self) -> None:
+        """Checks that no more than the whole rate can be spent."""
+        total = sum(p.fleet.usable_share(now_s) for p, now_s in self.fresh())
+        if total > 1 + 1e-9:
+            self._violate(f"the usable shares add up to {total:.4f}")
+
+    def _violate(self, text: str) -> None:
+        self.violations.append(f"{self.sim.network.now_s:.3f} s: {text}")
+
+    def act(self, action: str, first: int, second: int) -> None:
+        """Does an action by name, to the listed nodes with two numbers."""
+        target = self.listed[first % len(self.listed)]
+        other = self.listed[second % len(self.listed)]
+        getattr(self, f"_do_{action}")(target, other)
+
+    def _do_wait(self, target: NodeId, other: NodeId) -> None:
+        pass
+
+    def _do_cut(self, target: NodeId, other: NodeId) -> None:
+        if target != other:
+            self.sim.cut(target, other)
+
+    def _do_split(self, target: NodeId, other: NodeId) -> None:
+        group = {n for n in self.listed if self.rng.random() < 0.5}
+        self.sim.split(group ^ {target})
+
+    def _do_heal(self, target: NodeId, other: NodeId) -> None:
+        self.sim.heal()
+
+    def _do_freeze(self, target: NodeId, other: NodeId) -> None:
+        self.sim.freeze(target)
+
+    def _do_wake(self, target: NodeId, other: NodeId) -> None:
+        for frozen in list(self.sim.frozen):
+            self.sim.wake(frozen)
+
+    def _do_restart(self, target: NodeId, other: NodeId) -> None:
+        """Restarts a node if a majority keeps its memory."""
+        new = {
+            name
+            for name in self.listed
+            if name not in self.sim.processes
+            or not self.status(name).established
+        }
+        if len(new | {target}) <= (len(self.listed) - 1) // 2:
+            self.sim.start(target)
+
+    def _do_restart_any(self, target: NodeId, other: NodeId) -> None:
+        self.sim.start(target)
+
+    def _do_restart_all(self, target: NodeId, other: NodeId) -> None:
+        for name in self.listed:
+            self.sim.start(name)
+
+    def _do_kill(self, target: NodeId, other: NodeId) -> None:
+        self.sim.kill(target)
+
+    def _do_release(self, target: NodeId, other: NodeId) -> None:
+        """Releases half of the partitions, which the node may regain."""
+        process = self.sim.processes.get(target)
+        if process is None or target in self.sim.frozen:
+            return
+        half = frozenset(
+            partition
+            for partition in range(PARTITION_COUNT)
+            if self.rng.random() < 0.5
+        )
+        messages = process.fleet.release(process.now_s(), half)
+        self.sim.network.send(target, messages)
+
+    def _do_platform_down(self, target: NodeId, other: NodeId) -> None:
+        self.sim.set_view(target, PlatformView.DOWN)
+
+    def _do_platform_stale(self, target: NodeId, other: NodeId) -> None:
+        self.sim.set_view(target, PlatformView.STALE)
+
+    def _do_platform_current(self, target: NodeId, other: NodeId) -> None:
+        self.sim.set_view(target, PlatformView.CURRENT)
+
+    def _do_one_current(self, target: NodeId, other: NodeId) -> None:
+        """Lets one node see for a moment what is published."""
+        self.sim.set_view(target, PlatformView.CURRENT)
+        self.advance(0.5)
+        self.sim.set_view(target, PlatformView.STALE)
+
+    def _do_publish(self, target: NodeId, other: NodeId) -> None:
+        self.publish_config()
+
+    def _do_add_vm(self, target: NodeId, other: NodeId) -> None:
+        if len(self.listed) < 7:
+            self._start_new(len(self.listed))
+
+    def _do_remove_vm(self, target: NodeId, other: NodeId) -> None:
+        if len(self.listed) > 3:
+            self.listed.remove(target)
+            self.publish_vms()
+
+    def _do_replace_vm(self, target: NodeId, other: NodeId) -> None:
+        place = self.listed.index(target)
+        self.listed.remove(target)
+        self._start_new(place)
+
+    def _start_new(self, place: int) -> None:
+        self._started_count += 1
+        name = node(20 + self._started_count)
+        self.listed.insert(place, name)
+        self.publish_vms()
+        self.sim.start(name)
