Bound the memory of all bodies, and the wait for an unwanted answer

Cause: 4,096 connections may hold 64 KB of a body each, 268 MB, above the 256 MB of a node. A shed answer whose body never ends kept its connection for ever.

Change: above 50 MB of bodies the node passes them on as they come and keeps none for a retry; at twice as many it refuses with queue_full. The pool closes a connection that does not finish an unwanted answer within 2 s.

Figures: 100 waiting bodies of 60 KB with a budget of 1 MB hold at most 2.1 MB, and all bytes are freed at the end.

--- a/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/http_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/http_steps.py
@@ -6,7 +6,7 @@
 
 from behave import then, when
 from hypothesis import given as given_values
-from hypothesis import seed, settings
+from hypothesis import settings
 from hypothesis import strategies as st
 
 from egretrock.state.config import Access, Route
@@ -48,8 +48,7 @@
 def step_spell(context, count):
     context.runs = 0
 
-    @seed(7)
-    @settings(max_examples=count, deadline=None, database=None)
+    @settings(max_examples=count, deadline=None, derandomize=True)
     @given_values(
         st.randoms(use_true_random=False),
         st.lists(st.sampled_from(["a=1", "b", "", "c=%26", "api_keys=2"])),
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_body.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_body.py
@@ -1,6 +1,31 @@
 """The body of a request on its way from the caller to a target."""
 
 
+class BodyBudget:
+    """Bytes of all bodies that the node holds.
+
+    Args:
+        max_bytes: Bytes above which bodies are passed on as they come, and
+            not kept for a retry. At twice as many, bodies are refused.
+    """
+
+    __slots__ = ("_max_bytes", "held_bytes")
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self.held_bytes = 0
+
+    @property
+    def is_over(self) -> bool:
+        """Whether no more should be held for longer than needed."""
+        return self.held_bytes > self._max_bytes
+
+    @property
+    def is_exhausted(self) -> bool:
+        """Whether nothing more may be held."""
+        return self.held_bytes > 2 * self._max_bytes
+
+
 class BodyBuffer:
     """Holds the start of a body, so that it can be sent more than once.
 
@@ -16,6 +41,7 @@
     """
 
     __slots__ = (
+        "_budget",
         "_limit_bytes",
         "complete",
         "held",
@@ -23,8 +49,9 @@
         "replayable",
     )
 
-    def __init__(self, limit_bytes: int) -> None:
+    def __init__(self, limit_bytes: int, budget: BodyBudget) -> None:
         self._limit_bytes = limit_bytes
+        self._budget = budget
         self.complete = False
         self.replayable = True
         self.received_bytes = 0
@@ -33,7 +60,7 @@
     @property
     def is_full(self) -> bool:
         """Whether no more should be read before something was sent."""
-        return self.received_bytes >= self._limit_bytes
+        return self.received_bytes >= self._limit_bytes or self._budget.is_over
 
     def add(self, data: bytes, sent: bool) -> None:
         """Takes a piece.
@@ -45,6 +72,7 @@
         self.received_bytes += len(data)
         if not sent or (self.replayable and not self._is_over):
             self.held += data
+            self._budget.held_bytes += len(data)
         elif self.replayable:
             self.drop()
 
@@ -56,9 +84,10 @@
     def drop(self) -> None:
         """Gives up the held bytes."""
         if self.received_bytes:
+            self._budget.held_bytes -= len(self.held)
             self.held = bytearray()
             self.replayable = False
 
     @property
     def _is_over(self) -> bool:
-        return self.received_bytes > self._limit_bytes
+        return self.received_bytes > self._limit_bytes or self._budget.is_over
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -91,7 +91,9 @@
         self.query: bytes | None = None
         self.stage = Stage.BODY
         self.run_state = RunState.NOT_RUN
-        self.body = BodyBuffer(pipeline.settings.max_body_buffer_bytes)
+        self.body = BodyBuffer(
+            pipeline.settings.max_body_buffer_bytes, pipeline.body_budget
+        )
         self.fingerprint: Fingerprint | None = None
         self.record: RecordKey | None = None
         self.attempt: AttemptId | None = None
@@ -115,6 +117,9 @@
             return
         call = self.call
         sending = call is not None and call.is_sending
+        if not sending and self._pipeline.body_budget.is_exhausted:
+            self._pipeline.refuse_body(self)
+            return
         self.body.add(data, sending)
         if call is not None and sending:
             call.progress_s = self._pipeline.now()
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -47,6 +47,7 @@
     header_values,
     is_in_path,
 )
+from egretrock_node.protocol.requests._body import BodyBudget
 from egretrock_node.protocol.requests._exchange import (
     Exchange,
     Try,
@@ -126,6 +127,7 @@
         self._send_out = environment.send
         self.counters: Counters = environment.counters
         self.settings = settings
+        self.body_budget = BodyBudget(settings.max_held_body_bytes)
         self._credentials = credentials
         self.protocol = protocol
         self._ids = RequestIds(incarnation)
@@ -199,6 +201,14 @@
         """Number of requests that have no complete answer yet."""
         return len(self._in_flight)
 
+    def refuse_body(self, exchange: Exchange) -> None:
+        """Refuses a request whose body the node has no memory for."""
+        self.withdraw(exchange, CallOutcome.UNUSED)
+        message = f"{self.body_budget.held_bytes} bytes of bodies wait"
+        exchange.refuse(
+            Refusal(RefusalCode.QUEUE_FULL, RunState.NOT_RUN, message, 1000)
+        )
+
     def cut(self) -> list[InFlight]:
         """Ends all requests at once and returns what was cut off."""
         report = self.in_flight()
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -304,6 +304,7 @@
     Attributes:
         data_centre: Data centre of this node.
         max_body_buffer_bytes: Bytes of one body held for a retry.
+        max_held_body_bytes: Bytes of all bodies held for longer than needed.
         out_grace_s: Seconds for which a node still serves after its data
             centre was taken out.
         min_progress_s: Least seconds without a byte from a target before a
@@ -314,6 +315,7 @@
 
     data_centre: DataCentreId
     max_body_buffer_bytes: int = 65_536
+    max_held_body_bytes: int = 50_000_000
     out_grace_s: float = 5.0
     min_progress_s: float = 1.0
     progress_ratio: float = 0.5
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -118,5 +118,8 @@
     When a body larger than the buffer is sent and the connection lost
     Then it is refused with target_failed and unknown
 
+  Scenario: Waiting bodies fill the memory
+    Then 100 waiting bodies of 60 KB hold at most 2 MB, and all is freed
+
   Scenario: A stop does not tell what it cuts off
     Then the report of a cut names sent as unknown and queued as not_run
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -210,11 +210,11 @@
 
 
 @then("it is refused with {code} and {state}")
-def step_refused(context, code, state):
+def step_refused(context, code, state, count=1):
     poll(context)
     refusal = json.loads(status_of(context.caller)[1])
     assert (refusal["code"], refusal["run_state"]) == (code, state), refusal
-    assert context.counts.counts[f"refusals.{code}"] == 1
+    assert context.counts.counts[f"refusals.{code}"] == count
     assert not context.caller.abort.called
 
 
@@ -398,6 +398,21 @@
     assert len(context.targets.sent) == 1
 
 
+@then("{n:d} waiting bodies of 60 KB hold at most 2 MB, and all is freed")
+def step_bodies(context, n):
+    context.parts.permits.held = True
+    for _ in range(n):
+        start(context, method=b"PUT", body=b"a" * 60_000)
+    budget = context.pipeline.body_budget
+    held = sum(len(e.body.held) for e in context.exchanges)
+    assert 1_000_000 < held == budget.held_bytes <= 2_100_000, held
+    step_refused(context, "queue_full", "not_run", n - held // 60_000)
+    release(context)
+    for attempt in context.targets.sent:
+        attempt.answer()
+    assert budget.held_bytes == context.pipeline.in_flight_count == 0
+
+
 @then("the report of a cut names sent as unknown and queued as not_run")
 def step_cut(context):
     start(context)
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -164,7 +164,7 @@
         parts,
         targets,
         Environment(clock, lambda messages: None, counters),
-        PipelineSettings("east"),
+        PipelineSettings("east", max_held_body_bytes=1_000_000),
         KeyCredentials(),
         TargetProtocol(),
         1,
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
@@ -75,6 +75,8 @@
         opened_s: When the connection was made.
         answered_s: When the latest answer ended, or ``opened_s``.
         sent_s: When the latest request was sent.
+        discarding_since_s: Since when the rest of an answer is read without
+            interest, or None.
         is_suspect: Whether it must not be used again.
     """
 
@@ -87,6 +89,7 @@
         self.opened_s = 0.0
         self.answered_s = 0.0
         self.sent_s = 0.0
+        self.discarding_since_s: float | None = None
         self.is_suspect = False
         self._call: TargetCall | None = None
         self._sent_whole = True
@@ -302,6 +305,7 @@
         if call is None:
             return
         self._call = None
+        self.discarding_since_s = None
         self.resume()
         self.answered_s = self._pool.now()
         keep = self._keep and self._sent_whole and not rest
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -32,6 +32,8 @@
 
     Attributes:
         connect_timeout_s: Seconds until a connection must be made.
+        max_discard_s: Seconds in which the rest of an answer that is of no
+            interest must arrive.
         max_idle_s: Seconds after which an idle connection is closed.
         max_idle_per_target: Idle connections kept for one target. A target
             allows about 250 over all nodes, so 18 nodes may hold 13 each.
@@ -44,6 +46,7 @@
     """
 
     connect_timeout_s: float = 1.0
+    max_discard_s: float = 2.0
     max_idle_s: float = 15.0
     max_idle_per_target: int = 12
     once_idle_s: float = 1.0
@@ -114,6 +117,8 @@
     def discard(self) -> None:
         """Reads the rest of the answer without reporting it."""
         self.is_discarding = True
+        if self._is_current:
+            self._connection.discarding_since_s = self._pool.now()
 
     def pause(self) -> None:
         """Stops reading the answer."""
@@ -290,13 +295,19 @@
         return fetch.done
 
     def sweep(self, now_s: float) -> None:
-        """Closes connections that were idle too long; call it every second."""
+        """Closes connections that wait too long; call it every second."""
         oldest_s = now_s - self.settings.max_idle_s
         for connections in list(self._idle.values()):
             for connection in list(connections):
                 if connection.answered_s < oldest_s:
                     connections.remove(connection)
                     connection.close()
+        oldest_s = now_s - self.settings.max_discard_s
+        for connections in list(self._open.values()):
+            for connection in list(connections):
+                since_s = connection.discarding_since_s
+                if since_s is not None and since_s < oldest_s:
+                    connection.abort()
         self.counters.gauge("target_connections.open", self.open_count)
 
     def close(self) -> None:
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -245,6 +245,18 @@
     check_own_answer(target, caller, on_new=False)
 
 
+@then("a connection with an unfinished shed answer is closed")
+def step_shed_unfinished(context):
+    node, target = context.world, context.world.targets[0]
+    shed = (
+        b"HTTP/1.1 503 Busy\r\nTarget-Not-Run: 1\r\nContent-Length: 9\r\n\r\n"
+    )
+    target.script = [shed]
+    check_refusal(node.caller(PAYOUT), 503, "not_run")
+    in_reactor(node.pool.sweep, time.monotonic() + 3)
+    wait_until(lambda: target.lost == 1)
+
+
 @then("keys in {count:d} forms are accepted and reach no target")
 def step_forms(context, count):
     node, target = world(context)
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
@@ -40,6 +40,7 @@
 
   Scenario: A shed request counts as run
     Then a shed payout gives not_run, and the connection is kept
+    And a connection with an unfinished shed answer is closed
 
   Scenario: A target sees a key
     Then keys in 12 forms are accepted and reach no target
