--- a/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
@@ -1,6 +1,5 @@
 """The home of a service: permits, trust, probes."""
 
-import collections
 import functools
 import random
 from collections.abc import Callable, Iterable
@@ -122,6 +121,18 @@
     )
 
 
+class _FreeTarget:
+    """A target with room, while permits are issued."""
+
+    def __init__(
+        self, target: TargetId, record: TargetRecord, held: int, limit: int
+    ) -> None:
+        self.target = target
+        self.record = record
+        self.held = held
+        self.limit = limit
+
+
 class _PartialInventory:
     """Parts of an inventory until all have arrived."""
 
@@ -169,7 +180,8 @@
         self._data_centres: dict[NodeId, DataCentreId] = {}
         self._census_s = float("-inf")
         self._published_state: list[tuple[Trust, InstanceId | None]] = []
-        self._order: collections.deque[NodeId] = collections.deque()
+        #: Nodes with unmet demand, the longest unserved first.
+        self._asking: dict[NodeId, None] = {}
 
     # Configuration and life of the home.
 
@@ -310,6 +322,7 @@
             session.avoid = frozenset(body.avoid)
             session.strict = body.strict
             session.asked_s = now_s
+            self._note_demand(node)
             resent = self._confirm(session, body, now_s)
             renewed = self._renew(session, body, now_s)
         granted = self._issue(now_s)
@@ -411,7 +424,6 @@
         session = _NodeSession(sender.incarnation, number, now_s)
         self.sessions[node] = session
         self._last_sessions[node] = (sender.incarnation, number)
-        self._order.append(node)
         for part in parts:
             for held in part.held:
                 permit = IssuedPermit(
@@ -447,7 +459,7 @@
         """
         session = self.sessions.pop(node, None)
         if session is not None:
-            self._order.remove(node)
+            self._asking.pop(node, None)
             for permit in session.permits.values():
                 record = self.records.get(permit.target)
                 until_s = now_s
@@ -630,76 +642,116 @@
     def _issue(self, now_s: float) -> dict[NodeId, list[Granted]]:
         """Issues permits to the waiting nodes in turn."""
         granted: dict[NodeId, list[Granted]] = {}
-        waiting = [n for n in self._order if self.sessions[n].wants(now_s) > 0]
+        waiting = [n for n in self._asking if self.sessions[n].wants(now_s) > 0]
         if not waiting:
             return granted
-        may_stand = (
-            self._load() < self._profile.balancing.skip_ask_load
-            and self.ledger.standing
-            < STANDING_SHARE * sum(r.ceiling for r in self.records.values())
-        )
-        while waiting:
+        free = self._free_targets(now_s)
+        quota = self._standing_quota() if free else 0
+        while waiting and free:
             still = []
             for node in waiting:
                 session = self.sessions[node]
-                permit = self._choose(node, session, may_stand, now_s)
-                if permit is None:
+                chosen = self._choose(node, session, free, now_s)
+                if chosen is None:
                     continue
+                permit = self._add_permit(session, chosen, quota, now_s)
                 granted.setdefault(node, []).append(_granted(permit))
                 if session.wants(now_s):
                     still.append(node)
             waiting = still
-        # The node served last starts the next round last.
-        self._order.rotate(-1)
+        for node in granted:
+            # A node that was served goes behind the others.
+            del self._asking[node]
+            self._note_demand(node)
         return granted
 
+    def _note_demand(self, node: NodeId) -> None:
+        session = self.sessions[node]
+        if session.demand > session.issued:
+            self._asking.setdefault(node)
+        else:
+            self._asking.pop(node, None)
+
+    def _standing_quota(self) -> int:
+        """Returns how many standing permits a node may have now."""
+        if self._load() >= self._profile.balancing.skip_ask_load:
+            return 0
+        ceilings = sum(r.ceiling for r in self.records.values())
+        if self.ledger.standing >= STANDING_SHARE * ceilings:
+            return 0
+        return max(1, int(STANDING_SHARE * ceilings / self._vm_count))
+
+    def _free_targets(self, now_s: float) -> dict[TargetId, _FreeTarget]:
+        free = {}
+        for target, record in self.records.items():
+            if not record.eligible:
+                continue
+            limit = record.limit(now_s)
+            held = self.ledger.outstanding(target, record.instance)
+            if held < limit:
+                free[target] = _FreeTarget(target, record, held, limit)
+        return free
+
     def _choose(
         self,
         node: NodeId,
         session: _NodeSession,
-        may_stand: bool,
+        free: dict[TargetId, _FreeTarget],
         now_s: float,
-    ) -> IssuedPermit | None:
+    ) -> _FreeTarget | None:
+        """Takes the least loaded target; its own data centre breaks ties."""
         place = self._data_centres.get(node)
         avoid_only = session.wants(now_s) <= session.strict
         best: tuple[bool, float, bool, float] | None = None
-        chosen: tuple[TargetId, TargetRecord, bool] | None = None
-        for target, record in self.records.items():
+        chosen: _FreeTarget | None = None
+        for target, entry in free.items():
             avoided = target in session.avoid
-            if not record.eligible or (avoided and avoid_only):
+            if avoided and avoid_only:
                 continue
             if now_s < session.blocked.get(target, 0.0):
                 continue
-            connected = (
-                record.instance is not None
-                and session.connected.get(target) == record.instance
-            )
+            record = entry.record
+            connected = self._is_connected(session, entry)
             if not self._may_issue(target, record, connected):
                 continue
-            limit = record.limit(now_s)
-            held = self.ledger.outstanding(target, record.instance)
-            if held >= limit:
-                continue
             away = record.published.data_centre != place
-            rank = (avoided, held / limit, away, self._rng.random())
+            load = entry.held / entry.limit
+            rank = (avoided, load, away, self._rng.random())
             if best is None or rank < best:
-                best = rank
-                chosen = (target, record, connected)
-        if chosen is None:
-            return None
-        target, record, connected = chosen
-        quota = STANDING_SHARE * sum(r.ceiling for r in self.records.values())
+                best, chosen = rank, entry
+        if chosen is not None:
+            chosen.held += 1
+            if chosen.held >= chosen.limit:
+                del free[chosen.target]
+        return chosen
+
+    def _is_connected(self, session: _NodeSession, entry: _FreeTarget) -> bool:
+        instance = entry.record.instance
+        return (
+            instance is not None
+            and session.connected.get(entry.target) == instance
+        )
+
+    def _add_permit(
+        self,
+        session: _NodeSession,
+        entry: _FreeTarget,
+        quota: int,
+        now_s: float,
+    ) -> IssuedPermit:
+        record = entry.record
+        connected = self._is_connected(session, entry)
         standing = (
-            may_stand
+            quota > 0
             and connected
             and record.trust is Trust.WARM
-            and session.standing_count() < max(1, quota // self._vm_count)
+            and session.standing_count() < quota
         )
         record.issued_s = now_s
         session.issued += 1
         permit = IssuedPermit(
             number=session.issued,
-            target=target,
+            target=entry.target,
             instance=record.instance,
             new_connection=not connected,
             issued_s=now_s,
@@ -784,13 +836,15 @@
         self._inherited = inherited
         self._counters = counters or NullCounters()
         self._homes: dict[ServiceId, tuple[float, ServiceHome]] = {}
+        self._partitions: dict[ServiceId, int] = {}
 
     def homes(self, now_s: float) -> dict[ServiceId, ServiceHome]:
         """Returns the homes that this node holds now."""
         config = self._fleet.config()
         services = config.services if config else {}
-        for service in self._homes.keys() - services.keys():
-            del self._homes[service]
+        for service in self._partitions.keys() - services.keys():
+            del self._partitions[service]
+            self._homes.pop(service, None)
         homes = {service: self.home(service, now_s) for service in services}
         return {s: home for s, home in homes.items() if home is not None}
 
@@ -798,7 +852,10 @@
         """Returns the home of a service if this node holds it now."""
         config = self._fleet.config()
         vms = self._fleet.vms()
-        partition = partition_of("service", service)
+        partition = self._partitions.get(service)
+        if partition is None:
+            partition = partition_of("service", service)
+            self._partitions[service] = partition
         since_s = self._fleet.held_since_s(partition)
         if (
             config is None
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_record.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_record.py
@@ -113,6 +113,9 @@
         """Returns how many requests may be outstanding over the fleet."""
         if self.trust in (Trust.DOWN, Trust.DRAINING):
             return 0
+        plain = self.trust is Trust.WARM and not self.kept_one
+        if plain and now_s >= self._excess_until_s:
+            return min(self.ceiling, max(1, int(self._limit)))
         if self.kept_one:
             # A target that fails at once would else draw most of the calls.
             return int(now_s - self.issued_s >= TRIAL_INTERVAL_S)
--- a/packages/egretrock-core/src/egretrock/coordination/targets/tests/steps/seams.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/tests/steps/seams.py
@@ -20,7 +20,7 @@
 def _drop_all(home, node, now_s, successor):
     session = home.sessions.pop(node, None)
     if session is not None:
-        home._order.remove(node)
+        home._asking.pop(node, None)
         for permit in session.permits.values():
             home.ledger.remove(permit)
 
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -12,6 +12,7 @@
 )
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 from egretrock_standins.virtual._targets import (
+    VirtualCall,
     VirtualNode,
     VirtualTarget,
     VirtualWorld,
@@ -22,6 +23,7 @@
     "FleetStandIn",
     "PlatformView",
     "Published",
+    "VirtualCall",
     "VirtualFleet",
     "VirtualNetwork",
     "VirtualNode",
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_targets.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_targets.py
@@ -88,10 +88,13 @@
 
 
 @dataclasses.dataclass
-class _Call:
+class VirtualCall:
+    """One request at a target."""
+
     node: "VirtualNode"
     permit: Permit
     sent_s: float
+    offered_s: float
     instance: InstanceId
     running: bool = False
     done: bool = False
@@ -107,7 +110,7 @@
         self.service_s = service_s
         self.up = True
         self.condition = TargetCondition.READY
-        self.calls: list[_Call] = []
+        self.calls: list[VirtualCall] = []
         self.served = 0
         self.peak = 0
         self.arrived = 0
@@ -152,7 +155,7 @@
         part = elapsed_s / warmup.duration_s
         return math.floor(initial + (slots - initial) * part)
 
-    def arrive(self, call: _Call) -> None:
+    def arrive(self, call: VirtualCall) -> None:
         """Takes a request."""
         if not self.up or call.instance not in ("", self.instance):
             outcome = CallOutcome.LOST if call.instance else CallOutcome.REFUSED
@@ -187,7 +190,7 @@
                 time_s = self._world.rng.lognormvariate(-0.125, 0.5)
                 self._world.later(time_s * self.service_s, self._end, call)
 
-    def _end(self, call: _Call) -> None:
+    def _end(self, call: VirtualCall) -> None:
         if call.done:
             return
         call.done = True
@@ -224,7 +227,7 @@
         self.connections: dict[TargetId, InstanceId] = {}
         self.waiting: dict[TicketId, float] = {}
         self.in_flight = 0
-        self._world = world
+        self.world = world
         self._next_ticket = 0
         self._held_events: list[Callable[[], None]] = []
 
@@ -232,7 +235,7 @@
         """Takes a request of a caller."""
         if self.frozen:
             return
-        now_s = self._world.now_s
+        now_s = self.world.now_s
         self._request(now_s, now_s + deadline_s)
 
     def _request(self, offered_s: float, deadline_s: float) -> None:
@@ -242,11 +245,11 @@
         self._send(
             self.targets.client.request(
                 ticket,
-                self._world.service,
+                self.world.service,
                 "acme",
                 frozenset(),
                 deadline_s,
-                self._world.now_s,
+                self.world.now_s,
             )
         )
 
@@ -276,12 +279,12 @@
         if self.connections.get(target) == instance:
             del self.connections[target]
             client = self.targets.client
-            service, now_s = self._world.service, self._world.now_s
+            service, now_s = self.world.service, self.world.now_s
             self._send(client.connection_lost(service, target, now_s))
 
-    def end_call(self, call: _Call, outcome: CallOutcome) -> None:
+    def end_call(self, call: VirtualCall, outcome: CallOutcome) -> None:
         """Takes the end of a call."""
-        world = self._world
+        world = self.world
         if world.nodes.get(self.peer.node) is not self:
             return
         if self.frozen:
@@ -298,7 +301,7 @@
             instance = call.instance
             self.connections[target] = instance
             condition = world.targets[target].condition
-            world.latencies.append(latency_s)
+            world.totals.append((call.offered_s, world.now_s))
         elif self.connections.get(target) == call.instance:
             del self.connections[target]
         result = CallResult(outcome, latency_s, instance, condition)
@@ -313,19 +316,19 @@
             event()
 
     def _send(self, messages: list[Outbound]) -> None:
-        now_s = self._world.now_s
+        now_s = self.world.now_s
         messages = self.targets.route(messages, now_s)
-        self._world.network.send(self.peer.node, messages)
+        self.world.network.send(self.peer.node, messages)
         self._dispatch()
 
     def _dispatch(self) -> None:
-        world = self._world
+        world = self.world
         client = self.targets.client
         for assignment in client.poll(world.now_s):
             self._dispatch_one(assignment)
 
     def _dispatch_one(self, assignment: Assignment) -> None:
-        world = self._world
+        world = self.world
         client, permit = self.targets.client, assignment.permit
         offered_s = self.waiting.pop(assignment.ticket)
         instance = self.connections.get(permit.target)
@@ -344,11 +347,13 @@
             if known is None:
                 world.wrong_dispatches.append(permit.target)
         self.in_flight += 1
-        call = _Call(self, permit, world.now_s, instance or InstanceId(""))
+        call = VirtualCall(
+            self, permit, world.now_s, offered_s, instance or InstanceId("")
+        )
         world.later(TARGET_DELAY_S, world.targets[permit.target].arrive, call)
 
     def _probe(self, order: ProbeOrder) -> None:
-        world = self._world
+        world = self.world
         if not self.targets.home.may_probe(order, world.now_s):
             return
         world.probe_times_s.append(world.now_s)
@@ -360,7 +365,7 @@
 
     def _end_probe(self, result: ProbeResult) -> None:
         if not self.frozen:
-            self.targets.home.on_probe(result, self._world.now_s)
+            self.targets.home.on_probe(result, self.world.now_s)
 
 
 class VirtualWorld:
@@ -374,6 +379,7 @@
         profile: Fields of the profile in the form of the configuration.
         faults: What happens to messages.
         service_s: Mean service time.
+        node_type: Class of the nodes.
     """
 
     service = ServiceId("records")
@@ -387,7 +393,9 @@
         profile: dict | None = None,
         faults: Faults | None = None,
         service_s: float = 0.02,
+        node_type: type[VirtualNode] = VirtualNode,
     ) -> None:
+        self._node_type = node_type
         self.rng = random.Random(seed)
         self.network = VirtualNetwork(self.rng, faults or Faults())
         self.slots = slots
@@ -423,9 +431,11 @@
         self.vms = _convert_vms(vms)
         self.holder: NodeId | None = None
         self.holder_since_s = 0.0
+        self.offered = 0
         self.excesses: list[str] = []
         self.wrong_dispatches: list[str] = []
-        self.latencies: list[float] = []
+        #: When each answered request was offered and when it ended.
+        self.totals: list[tuple[float, float]] = []
         self.waits: list[float] = []
         self.probe_times_s: list[float] = []
         self.nodes: dict[NodeId, VirtualNode] = {}
@@ -452,7 +462,7 @@
         """Starts a process on a VM."""
         self._incarnations += 1
         peer = Peer(node, Incarnation(self._incarnations))
-        entry = VirtualNode(self, peer)
+        entry = self._node_type(self, peer)
         self.nodes[node] = entry
         self.network.add(peer, entry.on_message, entry.on_tick, tick_s=0.01)
 
@@ -492,6 +502,7 @@
         if self.now_s >= until_s:
             return
         nodes = list(self.nodes.values())
+        self.offered += 1
         if nodes:
             self.rng.choice(nodes).offer()
         delay_s = self.rng.expovariate(rate_per_s)
