--- a/packages/egretrock-core/src/egretrock/coordination/limits/_demand.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_demand.py
@@ -81,6 +81,13 @@
             if home.node == node
         )
 
+    def expiring(self, before_s: float, now_s: float) -> bool:
+        """Whether tokens expire before a time."""
+        return any(
+            now_s < entry.expires_s < before_s and entry.tokens >= 1 - ROUNDING
+            for entry in self._granted.values()
+        )
+
     def total(self, now_s: float) -> float:
         """Returns all unspent tokens."""
         return sum(self.held(home, now_s) for home in self._granted)
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_limiter.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_limiter.py
@@ -21,6 +21,7 @@
     AskEntry,
     Busy,
     Grant,
+    GrantEntry,
     Lease,
     Release,
     TokenEntry,
@@ -129,6 +130,29 @@
         self._next_sweep_s = start_s
         self._stopped = False
 
+    # For status pages and tests.
+
+    @property
+    def peer(self) -> Peer:
+        """This node and the incarnation of this process."""
+        return self._peer
+
+    def organisations(self) -> frozenset[OrganisationId]:
+        """Returns the organisations with state at this node."""
+        return frozenset(self._states)
+
+    def own_level(self, organisation: OrganisationId) -> float:
+        """Returns the minted tokens in hand, as of the last use."""
+        state = self._states.get(organisation)
+        return 0.0 if state is None else state.pool.level
+
+    def leased_share(self, organisation: OrganisationId) -> float:
+        """Returns the sum of the shares leased to this node."""
+        state = self._states.get(organisation)
+        if state is None:
+            return 0.0
+        return sum(lease.share for lease in state.pool.leases.values())
+
     # The request path.
 
     def is_ready(self, now_s: float) -> bool:
@@ -352,7 +376,7 @@
             state = self._states.get(entry.organisation)
             if state is None or entry.organisation not in wanted:
                 continue
-            if entry.tokens > 0 and expires_s > now_s:
+            if entry.extended and expires_s > now_s:
                 state.wallet.add(sender, entry.tokens, expires_s, now_s)
             want = wanted[entry.organisation]
             state.on_granted(want, entry.tokens, now_s)
@@ -405,10 +429,11 @@
         entries = []
         for entry in ask.entries:
             state = self._state(entry.organisation, now_s)
-            tokens = 0
-            if state is not None and entry.want > 0:
-                tokens = state.grant(asker, entry.want, now_s)
-            entries.append(TokenEntry(entry.organisation, tokens))
+            tokens, extended = 0, False
+            if state is not None and entry.want >= 0:
+                tokens, extended = state.grant(asker, entry.want, now_s)
+            name = entry.organisation
+            entries.append(GrantEntry(name, tokens, extended))
         self._counters.increment("limits.grants")
         body = Grant(ask.number, asker.incarnation, entries)
         return Outbound(asker.node, body)
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_messages.py
@@ -15,7 +15,7 @@
 
     Attributes:
         organisation: The organisation.
-        want: Tokens wanted.
+        want: Tokens wanted; 0 asks only to extend what is held.
         demand_per_s: Requests a second that the node expects.
         held: Unspent tokens that it holds from grants of the receiver.
     """
@@ -44,12 +44,27 @@
     tokens: float
 
 
+class GrantEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Tokens granted for one organisation.
+
+    Attributes:
+        organisation: The organisation.
+        tokens: New tokens.
+        extended: Whether the tokens that the asker holds live on as long as
+            new ones.
+    """
+
+    organisation: OrganisationId
+    tokens: int
+    extended: bool
+
+
 class Grant(Message, frozen=True, tag="limits.grant"):
     """Answers an ask; the tokens expire ``grant_s`` after its send."""
 
     number: int
     asker_incarnation: Incarnation
-    entries: list[TokenEntry]
+    entries: list[GrantEntry]
 
 
 class Busy(Message, frozen=True, tag="limits.busy"):
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_organisation.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_organisation.py
@@ -156,17 +156,19 @@
             return False
         if self._missed_now(now_s) > 0:
             return True
+        if self.wallet.expiring(now_s + self._settings.extend_s, now_s):
+            return True
         low = self._settings.low_water * self._target(now_s)
         return self._stock(now_s) < low
 
     def ask_entry(self, home: NodeId, now_s: float) -> AskEntry | None:
         """Returns what to ask for, or None if the stock is full."""
         want = math.ceil(self._target(now_s) - self._stock(now_s) - ROUNDING)
-        want = min(want, math.ceil(self.size.burst))
-        if want < 1:
+        want = max(0, min(want, math.ceil(self.size.burst)))
+        held = self.wallet.held_from(home, now_s)
+        if want < 1 and held < 1 - ROUNDING:
             return None
         demand_per_s = round(self.demand.per_s(now_s), 2)
-        held = self.wallet.held_from(home, now_s)
         return AskEntry(self.organisation, want, demand_per_s, held)
 
     def on_granted(self, wanted: int, tokens: float, now_s: float) -> None:
@@ -222,16 +224,22 @@
         least = 1 if free >= 1 else 0
         return min(want, max(math.floor(max(fair, free - others)), least))
 
-    def grant(self, asker: Peer, want: int, now_s: float) -> int:
-        """Deducts and returns the tokens for an asker."""
+    def grant(self, asker: Peer, want: int, now_s: float) -> tuple[int, bool]:
+        """Deducts tokens for an asker.
+
+        Returns:
+            The tokens, and whether what the asker holds is extended too.
+        """
         tokens = self.grantable(asker, want, now_s)
-        if tokens > 0:
-            self.pool.grant(asker, tokens, self._grant_end_s(now_s))
+        end_s = self._grant_end_s(now_s)
+        extended = self.pool.is_backed(now_s, end_s)
+        if extended:
+            self.pool.grant(asker, tokens, end_s)
         claim = self._claims.get(asker)
         if claim is not None:
             unmet = max(0, want - tokens)
             self._claims[asker] = msgspec.structs.replace(claim, unmet=unmet)
-        return tokens
+        return tokens, extended
 
     def is_acting(self, now_s: float) -> bool:
         """Whether this node was needed as home recently."""
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_pool.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_pool.py
@@ -114,6 +114,10 @@
         room = self._room(end_s) - self.outstanding(now_s)
         return max(0.0, min(self.level, room))
 
+    def is_backed(self, now_s: float, end_s: float) -> bool:
+        """Whether all grants may last until ``end_s``."""
+        return self.outstanding(now_s) <= self._room(end_s) + ROUNDING
+
     def settle(self, asker: Peer, held: float) -> None:
         """Frees the room of tokens that ``asker`` can no longer spend."""
         grant = self.grants.get(asker)
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_settings.py
@@ -31,6 +31,7 @@
         wait_s: Longest time that a request without a token may wait.
         claim_s: Seconds that an ask counts as a claim on the pool.
         horizon_s: Seconds of expected demand that a node asks for.
+        extend_s: Remaining life at which held tokens are to be extended.
         low_water: Part of the wanted stock below which a node asks again.
         demand_s: Time constant of the demand estimate in seconds.
         ask_ahead_per_s: Demand in requests a second from which a node asks
@@ -50,14 +51,15 @@
     busy_s: float = 1.0
     release_s: float = 0.3
     gather_s: float = 0.01
-    ask_timeout_s: float = 0.05
-    ask_failures: int = 3
+    ask_timeout_s: float = 0.02
+    ask_failures: int = 5
     suspect_s: float = 1.0
-    short_wait_s: float = 0.04
+    short_wait_s: float = 0.03
     wait_s: float = 0.06
     claim_s: float = 0.3
-    horizon_s: float = 0.2
-    low_water: float = 0.5
+    horizon_s: float = 0.1
+    extend_s: float = 0.1
+    low_water: float = 0.7
     demand_s: float = 0.5
     ask_ahead_per_s: float = 1.0
     lend_ratio: float = 0.5
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/tests/steps/bound_steps.py
@@ -0,0 +1,131 @@
+import contextlib
+import dataclasses
+from unittest import mock
+
+from behave import given, then, when
+from hypothesis import HealthCheck, settings
+from hypothesis import given as given_values
+from hypothesis import strategies as st
+
+from egretrock.coordination.limits._demand import Wallet
+from egretrock.coordination.limits._pool import SharePool
+from egretrock_standins.limits_experiment import Chaos, ChaosPlan
+from egretrock_standins.virtual import FleetStandIn
+
+FAULTS = {
+    "lost, repeated, late messages": {
+        "loss": 0.2,
+        "duplication": 0.3,
+        "delay_s": 0.4,
+    },
+    "repeated messages": {"duplication": 1.0, "delay_s": 0.1},
+    "kills": {"kills_per_s": 0.6},
+    "planned stops": {"stops_per_s": 0.6},
+    "freezes": {"freezes_per_s": 0.8},
+    "cuts": {"cuts_per_s": 1.0},
+    "several believed homes": {"view_changes_per_s": 2.0},
+    "list changes": {"list_changes_per_s": 0.1},
+    "limit changes": {"limit_changes_per_s": 0.1},
+    "clock drift": {"drift": True, "freezes_per_s": 0.5},
+}
+#: More than rounding of sums over a run.
+TOLERANCE = 1e-6
+
+
+def accept_again(pool, lender, lease, tokens):
+    pool.leases[lender] = lease
+    pool._set_level(pool.level + tokens, pool._advanced_s)
+    return True
+
+
+def take_back_early(pool, until_s):
+    tokens, pool.level = pool.level, 0.0
+    pool.own_from_s = until_s - 0.9
+    return tokens
+
+
+def any_held(wallet, home, now_s):
+    entry = wallet._granted.get(home)
+    return 0.0 if entry is None else entry.tokens
+
+
+def newest_limits_only(view, now_s):
+    return view._learned(view.true_s(now_s))[-1:]
+
+
+def own_always(pool, own, at_s):
+    return own + sum(
+        lease.share for lease in pool.leases.values() if lease.end_s > at_s
+    )
+
+
+MECHANISMS = {
+    "grants taking up room": (SharePool, "outstanding", lambda *_: 0.0),
+    "one use of a lease message": (SharePool, "accept", accept_again),
+    "the end of a loan": (SharePool, "lend_own", take_back_early),
+    "stopping on a lent share": (SharePool, "_share_in_hand", own_always),
+    "expiry of granted tokens": (Wallet, "held", any_held),
+    "freshness at admission": (FleetStandIn, "is_fresh", lambda *_: True),
+    "late use of larger limits": (FleetStandIn, "_usable", newest_limits_only),
+}
+
+
+@contextlib.contextmanager
+def switched_off(mechanism):
+    if mechanism == "restart wait":
+        yield {"restart_wait": False}
+    else:
+        owner, name, replacement = MECHANISMS[mechanism]
+        with mock.patch.object(owner, name, replacement):
+            yield {}
+
+
+@given("faults of the kinds {kinds}")
+def step_faults(context, kinds):
+    context.faults = {}
+    for kind in FAULTS if kinds == "all" else [kinds]:
+        context.faults.update(FAULTS[kind])
+
+
+@when("{count:d} random histories are recorded")
+def step_histories(context, count):
+    context.worst = (float("-inf"), None)
+
+    @settings(
+        max_examples=count,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    @given_values(st.integers(0, 2**32), st.integers(1, 8))
+    def record(seed, node_count):
+        plan = ChaosPlan(seed=seed, node_count=node_count, **context.faults)
+        excess = Chaos(plan).run()
+        context.worst = max(context.worst, (excess, seed))
+
+    record()
+
+
+@then("no window of any history exceeds rate x t + burst")
+def step_bound(context):
+    excess, seed = context.worst
+    assert excess <= TOLERANCE, f"excess {excess:.2f} with seed {seed}"
+
+
+@when("the mechanism {mechanism} is off in up to {count:d} histories")
+def step_switched_off(context, mechanism, count):
+    context.excess = float("-inf")
+    with switched_off(mechanism) as fields:
+        for seed in range(count):
+            plan = ChaosPlan(seed=seed, **context.faults)
+            plan = dataclasses.replace(plan, **fields)
+            context.excess = max(context.excess, Chaos(plan).run())
+            if context.excess > TOLERANCE:
+                print(f"{mechanism} off: excess {context.excess:.1f}")
+                return
+
+
+@then("a window exceeds rate x t + burst")
+def step_exceeded(context):
+    assert context.excess > TOLERANCE, context.excess
--- a/packages/egretrock-standins/src/egretrock_standins/limits_experiment/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/limits_experiment/__init__.py
@@ -3,6 +3,7 @@
 Run ``python -m egretrock_standins.limits_experiment --help``.
 """
 
+from egretrock_standins.limits_experiment._chaos import Chaos, ChaosPlan
 from egretrock_standins.limits_experiment._scenarios import (
     Figures,
     Parameters,
@@ -13,6 +14,8 @@
 from egretrock_standins.limits_experiment._world import World, largest_excess
 
 __all__ = [
+    "Chaos",
+    "ChaosPlan",
     "Figures",
     "Parameters",
     "Scenario",
--- a/packages/egretrock-standins/src/egretrock_standins/limits_experiment/__main__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/limits_experiment/__main__.py
@@ -74,6 +74,7 @@
     lend_ratio: float = DEFAULTS.lend_ratio,
     ask_timeout_s: float = DEFAULTS.ask_timeout_s,
     ask_failures: int = DEFAULTS.ask_failures,
+    ask_ahead_per_s: float = DEFAULTS.ask_ahead_per_s,
 ) -> None:
     """Prints refusals within rate, waits and messages of each way.
 
@@ -102,6 +103,7 @@
         lend_ratio: See LimitSettings.
         ask_timeout_s: See LimitSettings.
         ask_failures: See LimitSettings.
+        ask_ahead_per_s: See LimitSettings.
     """
     settings = LimitSettings(
         lease_s=lease_s,
@@ -115,6 +117,7 @@
         lend_ratio=lend_ratio,
         ask_timeout_s=ask_timeout_s,
         ask_failures=ask_failures,
+        ask_ahead_per_s=ask_ahead_per_s,
     )
     runs = [
         Parameters(
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/limits_experiment/_chaos.py
@@ -0,0 +1,186 @@
+"""Random faults on a fleet of rate limiters."""
+
+import dataclasses
+import random
+
+from egretrock.state.config import Organisation
+from egretrock.state.ids import NodeId, OrganisationId
+from egretrock_standins.limits_experiment._world import (
+    LimitHistory,
+    World,
+    largest_excess,
+)
+from egretrock_standins.virtual import Faults
+
+CHAOS_ORGANISATION = OrganisationId("acme")
+#: Seconds after a publication in which a replaced limit may still be used:
+#: freshness_s, and the grants of the last moment.
+OVERLAP_S = 4.0 + 0.31
+#: Largest deviation of a clock rate from 1; two clocks differ by 1%.
+CLOCK_DRIFT = 0.005
+
+
+@dataclasses.dataclass
+class ChaosPlan:
+    """Which faults a run has; rates are events a second over the fleet.
+
+    Attributes:
+        seed: Seed of everything random.
+        node_count: Listed nodes at the start.
+        end_s: Length of the run.
+        loss: Probability that a message is lost.
+        duplication: Probability that a message arrives twice.
+        delay_s: Largest delay of a message.
+        kills_per_s: Kills with a restart up to a second later.
+        stops_per_s: Planned stops with a restart.
+        freezes_per_s: Freezes of up to 5 s.
+        cuts_per_s: Cuts between two nodes of up to 2 s.
+        view_changes_per_s: Changes of the nodes that a node hears.
+        list_changes_per_s: Nodes that leave or join the list.
+        limit_changes_per_s: Changes of rate and burst.
+        restart_wait: Whether restarted processes wait before they mint.
+        drift: Whether clocks run at different rates.
+    """
+
+    seed: int
+    node_count: int = 6
+    end_s: float = 15.0
+    loss: float = 0.02
+    duplication: float = 0.02
+    delay_s: float = 0.02
+    kills_per_s: float = 0.0
+    stops_per_s: float = 0.0
+    freezes_per_s: float = 0.0
+    cuts_per_s: float = 0.0
+    view_changes_per_s: float = 0.0
+    list_changes_per_s: float = 0.0
+    limit_changes_per_s: float = 0.0
+    restart_wait: bool = True
+    drift: bool = False
+
+
+class Chaos:
+    """One run: plans the faults and callers, then checks the history."""
+
+    def __init__(self, plan: ChaosPlan) -> None:
+        self.plan = plan
+        self._rng = random.Random(plan.seed)
+        limits = Organisation(rate_per_s=60.0, burst=40.0)
+        faults = Faults(plan.loss, plan.duplication, (0.001, plan.delay_s))
+        self.world = World(
+            plan.seed,
+            plan.node_count,
+            {CHAOS_ORGANISATION: limits},
+            faults=faults,
+        )
+        self._published = [(-1e6, limits)]
+        views = self.world.platform.views.values()
+        if plan.drift:
+            for view in views:
+                view.clock_rate = 1 + self._rng.choice([-1, 1]) * CLOCK_DRIFT
+
+    def run(self) -> float:
+        """Runs the plan; returns the largest excess over all windows."""
+        plan = self.plan
+        self._each(plan.kills_per_s, self._kill)
+        self._each(plan.stops_per_s, self._stop)
+        self._each(plan.freezes_per_s, self._freeze)
+        self._each(plan.cuts_per_s, self._cut)
+        self._each(plan.view_changes_per_s, self._change_view)
+        self._each(plan.list_changes_per_s, self._change_list)
+        self._each(plan.limit_changes_per_s, self._change_limits)
+        self._plan_callers()
+        self.world.run(plan.end_s)
+        drift = CLOCK_DRIFT if plan.drift else 0.0
+        history = LimitHistory(self._published, OVERLAP_S, 1 + drift)
+        times_s = self.world.admitted_s.get(CHAOS_ORGANISATION, [])
+        return largest_excess(times_s, history)
+
+    def _each(self, per_s: float, action: object) -> None:
+        at_s = self._rng.expovariate(per_s) if per_s > 0 else float("inf")
+        while at_s < self.plan.end_s:
+            self.world.network.at(at_s, action)
+            at_s += self._rng.expovariate(per_s)
+
+    def _plan_callers(self) -> None:
+        """Phases of load and of silence, in which buckets fill."""
+        world, rng = self.world, self._rng
+        at_s = 0.0
+        while at_s < self.plan.end_s:
+            stop_s = at_s + rng.uniform(0.3, 3.0)
+            nodes = rng.sample(world.nodes, rng.randint(1, len(world.nodes)))
+            for node in nodes:
+                for _ in range(rng.choice([0, 40])):
+                    world.network.at(at_s, world.call, CHAOS_ORGANISATION, node)
+            per_s = rng.choice([20.0, 60.0, 150.0])
+            world.call_poisson(CHAOS_ORGANISATION, nodes, per_s, at_s, stop_s)
+            at_s = stop_s + rng.choice([0.0, rng.uniform(0.0, 1.5)])
+
+    def _node(self) -> NodeId:
+        return self._rng.choice(self.world.nodes)
+
+    def _later(self, low_s: float, high_s: float) -> float:
+        return self.world.network.now_s + self._rng.uniform(low_s, high_s)
+
+    def _start(self, node: NodeId) -> None:
+        if node in self.world.limiters:
+            return
+        start_s = None if self.plan.restart_wait else -10.0
+        self.world.start(node, start_s)
+
+    def _kill(self) -> None:
+        node = self._node()
+        self.world.kill(node)
+        self.world.network.at(self._later(0.01, 1.0), self._start, node)
+
+    def _stop(self) -> None:
+        node = self._node()
+        self.world.stop(node)
+        self.world.network.at(self._later(0.01, 1.0), self._start, node)
+
+    def _freeze(self) -> None:
+        node = self._node()
+        self.world.freeze(node)
+        self.world.network.at(self._later(0.05, 5.0), self.world.wake, node)
+
+    def _cut(self) -> None:
+        first, second = self._node(), self._node()
+        self.world.network.cut(first, second)
+        if self._rng.random() < 0.5:
+            self.world.network.cut(second, first)
+        self.world.network.at(self._later(0.2, 2.0), self.world.network.heal)
+
+    def _change_view(self) -> None:
+        """Lets a node hear only some nodes, so that homes differ."""
+        nodes = self.world.nodes
+        unheard = self._rng.sample(nodes, self._rng.randint(0, len(nodes) - 1))
+        self.world.view(self._node()).unheard = frozenset(unheard)
+
+    def _change_list(self) -> None:
+        """Lists other nodes; each node learns of it within 10 s."""
+        world = self.world
+        count = self._rng.randint(1, self.plan.node_count + 3)
+        nodes = [NodeId(f"127.0.0.{n}:7000") for n in range(1, count + 1)]
+        world.platform.publish(world.network.now_s, nodes=nodes)
+        for node in nodes:
+            if node not in world.nodes:
+                world.nodes.append(node)
+            self._start(node)
+        self._change_lags()
+
+    def _change_limits(self) -> None:
+        world = self.world
+        limits = Organisation(
+            rate_per_s=self._rng.choice([10.0, 60.0, 120.0]),
+            burst=self._rng.choice([5.0, 40.0, 80.0]),
+        )
+        now_s = world.network.now_s
+        world.platform.publish(
+            now_s, organisations={CHAOS_ORGANISATION: limits}
+        )
+        self._published.append((now_s, limits))
+        self._change_lags()
+
+    def _change_lags(self) -> None:
+        for view in self.world.platform.views.values():
+            view.lag_s = self._rng.choice([0.05, 1.0, 3.9, 10.0])
--- a/packages/egretrock-standins/src/egretrock_standins/limits_experiment/_ways.py
+++ b/packages/egretrock-standins/src/egretrock_standins/limits_experiment/_ways.py
@@ -8,7 +8,7 @@
 
 from egretrock.coordination.base import Outbound
 from egretrock.coordination.limits import HOME_KIND, RateLimiter
-from egretrock.state.ids import NodeId, OrganisationId
+from egretrock.state.ids import OrganisationId
 from egretrock_standins.virtual import FleetStandIn
 
 
@@ -51,18 +51,11 @@
 class OwnerView(FleetStandIn):
     """A view in which the holder of the partition has the whole rate.
 
-    A lost owner is replaced when its votes have ended: ``vote_s`` x 1.01,
-    and ``handover_s`` later for a process that restarts.
+    ``heard_s`` is the life of a vote: a lost owner is replaced after it.
     """
 
-    vote_s = 3.5
     organisation = OrganisationId("")
 
-    def alive_nodes(self, now_s: float) -> frozenset[NodeId]:
-        """Listed nodes without those whose votes have ended."""
-        self.heard_s = self.vote_s * 1.01
-        return super().alive_nodes(now_s)
-
     def usable_share(self, now_s: float) -> float:
         """All at the owner, none elsewhere."""
         home = self.preferred_home(HOME_KIND, self.organisation, now_s)
--- a/packages/egretrock-standins/src/egretrock_standins/limits_experiment/_world.py
+++ b/packages/egretrock-standins/src/egretrock_standins/limits_experiment/_world.py
@@ -23,6 +23,8 @@
 
 #: Requests that may wait for a token at one node.
 WAITING_BOUND = 1000
+#: Life of a vote for the owner: ``vote_s`` x 1.01.
+VOTE_S = 3.5 * 1.01
 LIMITERS = {
     Way.STATIC: StaticLimiter,
     Way.OWNER: OwnerLimiter,
@@ -30,6 +32,49 @@
 }
 
 
+class LimitHistory:
+    """The largest limits that may be in force at each time.
+
+    Args:
+        published: Times of publication and limits, in order.
+        overlap_s: Seconds for which a node may still use a replaced limit.
+        clock_rate: Rate of the fastest clock that mints.
+    """
+
+    def __init__(
+        self,
+        published: list[tuple[float, Organisation]],
+        overlap_s: float = 0.0,
+        clock_rate: float = 1.0,
+    ) -> None:
+        ends_s = [at_s + overlap_s for at_s, _ in published[1:]]
+        self._clock_rate = clock_rate
+        self._spans = [
+            (at_s, end_s, limits)
+            for (at_s, limits), end_s in zip(
+                published, [*ends_s, float("inf")], strict=True
+            )
+        ]
+        edges = {edge for span in self._spans for edge in span[:2]}
+        self._edges = sorted(e for e in edges if 0 < e < float("inf"))
+
+    def burst(self, at_s: float) -> float:
+        """Returns the largest burst in force at a time."""
+        return max(limits.burst for limits in self._in_force(at_s))
+
+    def minted(self, until_s: float) -> float:
+        """Returns the integral of the largest rate from time 0."""
+        total = start_s = 0.0
+        for edge in [*(e for e in self._edges if e < until_s), until_s]:
+            rates = [x.rate_per_s for x in self._in_force(start_s)]
+            total += max(rates) * (edge - start_s)
+            start_s = edge
+        return total * self._clock_rate
+
+    def _in_force(self, at_s: float) -> list[Organisation]:
+        return [x for start, end, x in self._spans if start <= at_s < end]
+
+
 class ReferenceBucket:
     """One token bucket for the fleet: tells which requests are within rate."""
 
@@ -55,6 +100,7 @@
 
     Attributes:
         organisation: Whose request it is.
+        node: Node that the caller reached first.
         at_s: Time of arrival.
         within_rate: Whether one bucket for the fleet would admit it.
         admitted_s: Time of admission, or None.
@@ -62,6 +108,7 @@
     """
 
     organisation: OrganisationId
+    node: NodeId
     at_s: float
     within_rate: bool
     admitted_s: float | None = None
@@ -107,7 +154,7 @@
         if way is Way.OWNER:
             views = self.platform.views
             for node in views:
-                views[node] = OwnerView(node, self.platform)
+                views[node] = OwnerView(node, self.platform, heard_s=VOTE_S)
         self.limiters: dict[NodeId, RateLimiter] = {}
         self.requests: list[Request] = []
         self.admitted_s: dict[OrganisationId, list[float]] = {}
@@ -116,6 +163,8 @@
             for name, limits in organisations.items()
         }
         self._waiting: dict[NodeId, list[Request]] = {}
+        #: One planned retry a node, or events would multiply.
+        self._retry_s: dict[NodeId, float] = {}
         self._frozen: set[NodeId] = set()
         # The processes started handover_s ago.
         wait_s = self.settings.handover_s * self.settings.clock_margin
@@ -128,11 +177,12 @@
         """Starts a process, or a new one after a kill."""
         now_s = self.network.now_s
         peer = Peer(node, Incarnation(self.rng.getrandbits(48)))
+        view = self.view(node)
         limiter = LIMITERS[self.way](
             peer,
-            self.view(node),
+            view,
             self.rng,
-            now_s if start_s is None else start_s,
+            view.local_s(now_s if start_s is None else start_s),
             self.settings,
         )
         self.limiters[node] = limiter
@@ -143,11 +193,15 @@
         def on_message(
             sender: Peer, body: Message, now_s: float
         ) -> list[Outbound]:
-            messages = limiter.on_message(sender, body, now_s)
+            local_s = view.local_s(now_s)
+            messages = limiter.on_message(sender, body, local_s)
             self._retry(node)
             return messages
 
-        self.network.add(peer, on_message, limiter.on_tick, self.tick_s)
+        def on_tick(now_s: float) -> list[Outbound]:
+            return limiter.on_tick(view.local_s(now_s))
+
+        self.network.add(peer, on_message, on_tick, self.tick_s)
 
     def kill(self, node: NodeId) -> None:
         """Ends a process; the requests that wait there are lost."""
@@ -158,7 +212,10 @@
 
     def stop(self, node: NodeId) -> None:
         """Ends a process as planned."""
-        messages = self.limiters[node].hand_over(self.network.now_s)
+        if node not in self.limiters or node in self._frozen:
+            return
+        local_s = self.view(node).local_s(self.network.now_s)
+        messages = self.limiters[node].hand_over(local_s)
         self.network.send(node, messages)
         self.kill(node)
 
@@ -206,7 +263,7 @@
         """One request; a node that is not ready hands it to another one."""
         now_s = self.network.now_s
         within = self._reference[organisation].admit(now_s)
-        request = Request(organisation, now_s, within)
+        request = Request(organisation, node, now_s, within)
         self.requests.append(request)
         if node in self._frozen:
             self._waiting[node].append(request)
@@ -220,22 +277,24 @@
 
     def _is_ready(self, node: NodeId) -> bool:
         limiter = self.limiters.get(node)
-        now_s = self.network.now_s
         if limiter is None or node in self._frozen:
             return False
-        return limiter.is_ready(now_s) and self.view(node).is_fresh(now_s)
+        local_s = self.view(node).local_s(self.network.now_s)
+        return limiter.is_ready(local_s) and self.view(node).is_fresh(local_s)
 
     def _admit(self, node: NodeId, request: Request, again: bool) -> bool:
         """Admits or refuses; False if the request waits on."""
         limiter = self.limiters[node]
         now_s = self.network.now_s
-        result = limiter.admit(request.organisation, now_s, again)
+        view = self.view(node)
+        local_s = view.local_s(now_s)
+        result = limiter.admit(request.organisation, local_s, again)
         if result.is_ok():
             request.admitted_s = now_s
             self.admitted_s.setdefault(request.organisation, []).append(now_s)
             return True
-        self.network.send(node, limiter.flush(request.organisation, now_s))
-        until_s = limiter.wait_until_s(request.organisation, now_s)
+        self.network.send(node, limiter.flush(request.organisation, local_s))
+        until_s = limiter.wait_until_s(request.organisation, local_s)
         last_s = request.at_s + self.settings.wait_s
         waiting = self._waiting[node]
         full = not again and len(waiting) >= WAITING_BOUND
@@ -244,8 +303,12 @@
             return True
         if not again:
             waiting.append(request)
-        retry_s = max(min(until_s, last_s), now_s + 0.001)
-        self.network.at(retry_s, self._retry, node)
+        # A retry at the same time would repeat without end.
+        retry_s = max(min(view.true_s(until_s), last_s), now_s + 0.001)
+        planned_s = self._retry_s.get(node, float("inf"))
+        if not now_s < planned_s <= retry_s:
+            self._retry_s[node] = retry_s
+            self.network.at(retry_s, self._retry, node)
         return False
 
     def _retry(self, node: NodeId) -> None:
@@ -268,20 +331,29 @@
         self.network.run(until_s)
 
 
-def largest_excess(times_s: list[float], limits: Organisation) -> float:
-    """Returns the largest count - rate x t - burst over all windows.
+def largest_excess(
+    times_s: list[float], limits: Organisation | LimitHistory
+) -> float:
+    """Returns the largest count - minted - burst over all windows.
 
-    A window from admission i to admission j holds j - i + 1 admissions; with
-    d(k) = k - rate x time(k), the excess is d(j) - min d(i <= j) + 1 - burst.
+    A window from admission i to admission j holds j - i + 1 admissions. With
+    d(k) = k - minted(time(k)), the excess is the largest
+    d(j) - min over i <= j of (d(i) + burst(time(i))) + 1.
+
+    Args:
+        times_s: Times of the admissions.
+        limits: One limit, or the limits that were in force over time.
 
     Example:
         >>> largest_excess([0.0, 0.0], Organisation(rate_per_s=1, burst=2))
         0.0
     """
-    worst = -limits.burst
-    lowest = float("inf")
+    if isinstance(limits, Organisation):
+        limits = LimitHistory([(float("-inf"), limits)])
+    worst = lowest = float("inf")
+    worst = -worst
     for index, at_s in enumerate(sorted(times_s)):
-        distance = index - limits.rate_per_s * at_s
-        lowest = min(lowest, distance)
-        worst = max(worst, distance - lowest + 1 - limits.burst)
-    return float(worst)
+        distance = index - limits.minted(at_s)
+        lowest = min(lowest, distance + limits.burst(at_s))
+        worst = max(worst, distance - lowest + 1)
+    return worst
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_fleet_view.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_fleet_view.py
@@ -76,6 +76,8 @@
         unheard: Nodes that this node does not hear.
         freshness_s: Life of a confirmation in seconds.
         heard_s: Seconds until a node that is down counts as silent.
+        clock_rate: Seconds of the node's clock in a second.
+        clock_offset_s: What the node's clock shows at time 0.
     """
 
     node: NodeId
@@ -85,9 +87,20 @@
     unheard: frozenset[NodeId] = frozenset()
     freshness_s: float = 4.0
     heard_s: float = 2.0
+    clock_rate: float = 1.0
+    clock_offset_s: float = 0.0
+
+    def local_s(self, true_s: float) -> float:
+        """Reads the node's clock at a virtual time."""
+        return true_s * self.clock_rate + self.clock_offset_s
+
+    def true_s(self, local_s: float) -> float:
+        """Returns the virtual time at which the clock shows ``local_s``."""
+        return (local_s - self.clock_offset_s) / self.clock_rate
 
     def is_fresh(self, now_s: float) -> bool:
         """Whether the last confirmation is younger than ``freshness_s``."""
+        now_s = self.true_s(now_s)
         confirmed_s = now_s
         if self.cut_since_s is not None:
             confirmed_s = min(confirmed_s, self.cut_since_s)
@@ -120,6 +133,7 @@
 
     def alive_nodes(self, now_s: float) -> frozenset[NodeId]:
         """Listed nodes heard from within ``heard_s``, itself included."""
+        now_s = self.true_s(now_s)
         down = self.platform.down_since_s
         silent = {n for n, at_s in down.items() if now_s - at_s > self.heard_s}
         listed = self._learned(now_s)[-1].vms.nodes
@@ -146,6 +160,7 @@
 
     def _usable(self, now_s: float) -> list[Published]:
         """The newest revision and those that still hold back growth."""
+        now_s = self.true_s(now_s)
         known = self._learned(now_s)
         wait_s = self.lag_s + self.freshness_s * 1.5
         usable = [known[-1]]
