--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/idempotency/__init__.py
@@ -0,0 +1,45 @@
+"""Idempotency keys: a key runs at most once within a window.
+
+The holder of a key's partition keeps the records. A holder whose memory may
+have gaps refuses keyed requests until every key that it may have missed is
+out of its window.
+"""
+
+from egretrock.coordination.idempotency._client import IdempotencyClient
+from egretrock.coordination.idempotency._home import IdempotencyHome
+from egretrock.coordination.idempotency._messages import (
+    Answer,
+    Begin,
+    BeginOutcome,
+    BeginResult,
+    Complete,
+    Noted,
+    Offer,
+    Ready,
+    RecordEntry,
+    Records,
+    RecordsNoted,
+)
+from egretrock.coordination.idempotency._records import RecordKey, record_key
+from egretrock.coordination.idempotency._settings import IdempotencySettings
+from egretrock.coordination.idempotency._view import PartitionView
+
+__all__ = [
+    "Answer",
+    "Begin",
+    "BeginOutcome",
+    "BeginResult",
+    "Complete",
+    "IdempotencyClient",
+    "IdempotencyHome",
+    "IdempotencySettings",
+    "Noted",
+    "Offer",
+    "PartitionView",
+    "Ready",
+    "RecordEntry",
+    "RecordKey",
+    "Records",
+    "RecordsNoted",
+    "record_key",
+]
