Keep idempotency records in the daemon and hand them over at a planned stop

Cause: requests with an idempotency key were refused as long as no records were kept.

Change: the holder of a key's partition keeps the records; a planned stop hands them over before the partitions are released. The window is one constant of the fleet and no longer a field of the profile, because two nodes that differ on it would break the promise.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -293,6 +293,11 @@
             )
         return view.holders[partition]
 
+    def next_holder(self, partition: int, now_s: float) -> NodeId | None:
+        """Returns the node that voters prefer once this one has released."""
+        others = self._candidates(now_s) - {self.settings.node}
+        return rendezvous_first(f"partition {partition}", others)
+
     def holds(self, partition: int, now_s: float) -> bool:
         """Returns whether this process is the only holder at ``now_s``."""
         return self._holder.holds(partition, now_s)
--- a/packages/egretrock-core/src/egretrock/coordination/idempotency/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/idempotency/__init__.py
@@ -24,7 +24,14 @@
 from egretrock.coordination.idempotency._settings import IdempotencySettings
 from egretrock.coordination.idempotency._view import PartitionView
 
+#: Messages that the holder of a partition takes.
+HOME_MESSAGES = (Begin, Complete, Offer, Ready, Records, RecordsNoted)
+#: Messages that the asking node takes.
+CLIENT_MESSAGES = (Answer, Noted)
+
 __all__ = [
+    "CLIENT_MESSAGES",
+    "HOME_MESSAGES",
     "Answer",
     "Begin",
     "BeginOutcome",
--- a/packages/egretrock-core/src/egretrock/coordination/idempotency/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/idempotency/_settings.py
@@ -7,8 +7,8 @@
     """Constants; all nodes of a fleet use the same.
 
     Attributes:
-        window_s: Seconds within which a key runs at most once; the largest
-            ``idempotency_window_s`` of the profiles.
+        window_s: Seconds within which a key runs at most once. It is no part
+            of a profile: two nodes that differ on it would break the promise.
         dispatch_s: Longest time from the first question to the dispatch.
         begin_s: Longest time that a caller waits for the holder's answer.
         resend_s: Seconds between two sends of a message without an answer.
--- a/packages/egretrock-core/src/egretrock/state/config/_model.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_model.py
@@ -186,7 +186,6 @@
     balancing: BalancingProfile = BalancingProfile()
     probe: ProbeProfile = ProbeProfile()
     warmup: WarmupProfile = WarmupProfile()
-    idempotency_window_s: PositiveFloat = 120.0
 
 
 class PublishedConfig(_Published, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/daemon/_drain.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_drain.py
@@ -31,10 +31,14 @@
     SERVING = "serving"
     NOTICE = "notice"
     FINISHING = "finishing"
-    HANDED_OVER = "handed over"
+    HANDING_OVER = "handing over"
+    RELEASED = "released"
     ENDED = "ended"
 
 
+_LAST_STATES = (DrainState.HANDING_OVER, DrainState.RELEASED, DrainState.ENDED)
+
+
 class DrainPort(Protocol):
     """What a planned stop does to the node."""
 
@@ -46,8 +50,16 @@
         """Returns the requests and connections that are still open."""
         ...
 
-    def hand_over(self) -> None:
-        """Hands shares, records and partitions to other nodes."""
+    def start_hand_over(self) -> None:
+        """Starts to hand shares and records to other nodes."""
+        ...
+
+    def is_handed_over(self) -> bool:
+        """Returns whether other nodes have what they were handed."""
+        ...
+
+    def release(self) -> None:
+        """Lets other nodes hold this node's partitions."""
         ...
 
     def cut(self) -> list[InFlight]:
@@ -55,8 +67,8 @@
         ...
 
 
-#: Seconds for which the messages of the hand-over may be on their way.
-HANDOVER_LINGER_S = 0.3
+#: Seconds for which the last messages may be on their way.
+LINGER_S = 0.3
 
 
 class Draining:
@@ -95,11 +107,10 @@
 
     def stop_now(self, now_s: float) -> None:
         """Ends at once and reports what is cut off."""
-        if self.state in (DrainState.ENDED, DrainState.HANDED_OVER):
+        if self.state in _LAST_STATES:
             return
         self._cut = self._port.cut()
-        self._port.hand_over()
-        self._enter(DrainState.HANDED_OVER, now_s)
+        self._hand_over(now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Goes on with the next step when it is due."""
@@ -110,17 +121,21 @@
                 self._enter(DrainState.FINISHING, now_s)
         elif self.state is DrainState.FINISHING:
             if self._port.open_work() == 0:
-                self._port.hand_over()
-                self._enter(DrainState.HANDED_OVER, now_s)
+                self._hand_over(now_s)
             elif now_s - self._since_s >= self._settings.deadline_s:
                 self.stop_now(now_s)
-        elif (
-            self.state is DrainState.HANDED_OVER
-            and in_step_s >= HANDOVER_LINGER_S
-        ):
+        elif self.state is DrainState.HANDING_OVER:
+            if self._port.is_handed_over():
+                self._port.release()
+                self._enter(DrainState.RELEASED, now_s)
+        elif self.state is DrainState.RELEASED and in_step_s >= LINGER_S:
             self._enter(DrainState.ENDED, now_s)
             self._on_end(DrainOutcome(self._cut))
 
+    def _hand_over(self, now_s: float) -> None:
+        self._port.start_hand_over()
+        self._enter(DrainState.HANDING_OVER, now_s)
+
     def _enter(self, state: DrainState, now_s: float) -> None:
         self.state = state
         self._step_s = now_s
--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -23,6 +23,12 @@
     Fleet,
     FleetSettings,
 )
+from egretrock.coordination.idempotency import (
+    CLIENT_MESSAGES,
+    HOME_MESSAGES,
+    IdempotencyClient,
+    IdempotencyHome,
+)
 from egretrock.coordination.limits import LIMIT_MESSAGES, RateLimiter
 from egretrock.coordination.queueing import FairQueue
 from egretrock.coordination.retries import (
@@ -43,7 +49,6 @@
 from egretrock_node.daemon._probing import Prober
 from egretrock_node.daemon._router import MessageRouter
 from egretrock_node.daemon._status import StatusReporter
-from egretrock_node.daemon._unavailable import UnavailableIdempotency
 from egretrock_node.observability import StatsdCounters
 from egretrock_node.protocol.peers import Codec
 from egretrock_node.protocol.requests import (
@@ -75,6 +80,8 @@
     *LIMIT_MESSAGES,
     *TARGET_MESSAGES,
     *RETRY_MESSAGES,
+    *HOME_MESSAGES,
+    *CLIENT_MESSAGES,
 )
 
 
@@ -176,12 +183,15 @@
         self.retries = RetryPolicy(
             self._retry_profile_of, self.quarantine.has_evidence, counters
         )
-        self.idempotency = UnavailableIdempotency()
+        self.records = IdempotencyHome(self.peer, self.fleet, counters=counters)
+        self.idempotency = IdempotencyClient(self.fleet, counters=counters)
         self.router = MessageRouter(counters)
         self.router.register(FLEET_MESSAGES, self.fleet)
         self.router.register(LIMIT_MESSAGES, self.limits)
         self.router.register(TARGET_MESSAGES, self.targets)
         self.router.register(RETRY_MESSAGES, self.quarantine)
+        self.router.register(HOME_MESSAGES, self.records)
+        self.router.register(CLIENT_MESSAGES, self.idempotency)
 
     def _make_request_path(self, adapters: NodeAdapters) -> None:
         settings, counters = self.settings, self.counters
@@ -356,7 +366,12 @@
         self.timers.advance(self.clock())
 
     def _on_request_tick(self, now_s: float) -> None:
-        for part in (self.limits, self.targets):
+        for part in (
+            self.limits,
+            self.targets,
+            self.idempotency,
+            self.records,
+        ):
             self.send(part.on_tick(now_s))
         self.prober.on_tick(now_s)
         self.pipeline.on_tick(now_s)
@@ -453,12 +468,20 @@
         """Returns the requests and connections that are still open."""
         return self.pipeline.in_flight_count + self.callers.connection_count
 
-    def hand_over(self) -> None:
-        """Hands shares, records and partitions to other nodes."""
+    def start_hand_over(self) -> None:
+        """Starts to hand shares and records to other nodes."""
         now_s = self.clock()
         self.pipeline.refuse_new()
         self.send(self.limits.hand_over(now_s))
-        self.send(self.fleet.release(now_s))
+        self.send(self.records.hand_over(now_s))
+
+    def is_handed_over(self) -> bool:
+        """Returns whether other nodes have what they were handed."""
+        return self.records.is_handed_over(self.clock())
+
+    def release(self) -> None:
+        """Lets other nodes hold this node's partitions."""
+        self.send(self.fleet.release(self.clock()))
 
     def cut(self) -> list[InFlight]:
         """Ends what is left and returns it."""
--- a/packages/egretrock-node/src/egretrock_node/daemon/tests/steps/daemon_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/tests/steps/daemon_steps.py
@@ -27,9 +27,15 @@
     def open_work(self):
         return self.in_flight
 
-    def hand_over(self):
+    def start_hand_over(self):
         self.events.append("hand over")
 
+    def is_handed_over(self):
+        return True
+
+    def release(self):
+        self.events.append("release")
+
     def cut(self):
         cut = [
             InFlight(f"r{n}", "payouts", Stage.SENT, RunState.UNKNOWN, 1.0)
@@ -98,7 +104,7 @@
 
 @then("it has handed over before it ended with exit code 0")
 def step_graceful(context):
-    expected = ["stop accepting", "hand over", "end"]
+    expected = ["stop accepting", "hand over", "release", "end"]
     assert context.port.events == expected, context.port.events
     assert [o.exit_code for o in context.outcomes] == [0]
 
