Send keyed requests only while their record is held, wait longer for targets that do not read

Cause: the idempotency part names a time until which a first attempt may be sent. TCP_USER_TIMEOUT also ends connections whose peer does not read, so a busy target lost an upload after 2 s.

Change: the dispatch checks the time of the record. TCP_USER_TIMEOUT is 5 s.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -56,6 +56,8 @@
         head: The head as received.
         match: Route and profile, or None where none was found.
         organisation: Owner of the key, or None on an open route.
+        dispatch_until_s: Time from which a keyed request must not be sent,
+            because its record may no longer be held.
         ticket: Ticket at the permits part while waiting; requests that wait
             for the same service may exchange theirs.
         queue_ticket: Ticket in the fair queue while waiting there.
@@ -97,6 +99,7 @@
         self.fingerprint: Fingerprint | None = None
         self.record: RecordKey | None = None
         self.attempt: AttemptId | None = None
+        self.dispatch_until_s = float("inf")
         self.ticket: TicketId | None = None
         self.queue_ticket: TicketId | None = None
         self.token_until_s = 0.0
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -330,6 +330,7 @@
         if exchange is None or exchange.is_done:
             return
         if result.outcome is BeginOutcome.FIRST:
+            exchange.dispatch_until_s = result.dispatch_until_s
             refusal = self._check_again(exchange, now_s)
             if refusal is not None:
                 exchange.refuse(refusal)
@@ -339,7 +340,7 @@
         # The record is not this attempt's, so its end is not reported.
         exchange.record = None
         if result.outcome is BeginOutcome.SEEN:
-            state = result.run_state or RunState.UNKNOWN
+            state = result.run_state
             status = f", status {result.status}" if result.status else ""
             message = (
                 "the Idempotency-Key was used before; run state of the first"
@@ -348,9 +349,7 @@
             code = RefusalCode.DUPLICATE_REQUEST
             exchange.refuse(Refusal(code, state, message))
         else:
-            message = "no node can tell whether the Idempotency-Key was used"
-            code = RefusalCode.IDEMPOTENCY_UNAVAILABLE
-            exchange.refuse(no_answer(code, message))
+            exchange.refuse(self._idempotency_unavailable())
 
     def _admit_first(self, exchange: Exchange, now_s: float) -> None:
         fingerprint = exchange.seal_fingerprint()
@@ -521,6 +520,8 @@
         if refusal is None:
             checked = self._parts.quarantine.check(exchange.fingerprint, now_s)
             refusal = checked.error if checked.is_error() else None
+        if refusal is None and now_s >= exchange.dispatch_until_s:
+            refusal = self._idempotency_unavailable()
         if refusal is not None:
             self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
             exchange.refuse(refusal)
@@ -874,6 +875,11 @@
         if messages:
             self._send_out(messages)
 
+    @staticmethod
+    def _idempotency_unavailable() -> Refusal:
+        message = "no node can tell whether the Idempotency-Key was used"
+        return no_answer(RefusalCode.IDEMPOTENCY_UNAVAILABLE, message)
+
     @staticmethod
     def _key_unknown() -> Refusal:
         message = "the key is not published, or was withdrawn"
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -107,5 +107,6 @@
 
     attempt: AttemptId
     outcome: BeginOutcome
-    run_state: RunState | None = None
+    run_state: RunState = RunState.UNKNOWN
     status: int | None = None
+    dispatch_until_s: float = 0.0
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -90,6 +90,9 @@
     And a payout with an idempotency key starts
     Then it is refused unsent with idempotency_unavailable and not_run
 
+  Scenario: A keyed payout is sent after its record may be lost
+    Then a payout that waits 0.5 s after its begin is not sent
+
   Scenario: A payout that was refused blocks its idempotency key
     When the organisation is over its rate
     And a payout with an idempotency key starts
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -336,6 +336,16 @@
     start(context, b"/payouts", b"POST", fields, b"pay")
 
 
+@then("a payout that waits {wait_s:g} s after its begin is not sent")
+def step_payout_late(context, wait_s):
+    context.parts.permits.held = True
+    step_payout(context)
+    context.now_s += wait_s
+    release(context)
+    step_refused_unsent(context, "idempotency_unavailable", "not_run")
+    assert context.parts.idempotency.complete.call_count == 1
+
+
 @when("a payout with an idempotency key is answered")
 def step_payout_answered(context):
     step_payout(context)
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -41,7 +41,8 @@
             carry a request that must run at most once.
         alive_s: Longest time to connect that shows that the process behind a
             lost connection has not ended.
-        user_timeout_s: Seconds for which sent bytes may stay unacknowledged
+        user_timeout_s: Seconds for which bytes may stay unacknowledged, or
+            unsent because the target does not read
             (``TCP_USER_TIMEOUT``).
     """
 
@@ -51,7 +52,7 @@
     max_idle_per_target: int = 12
     once_idle_s: float = 1.0
     alive_s: float = 0.05
-    user_timeout_s: float = 2.0
+    user_timeout_s: float = 5.0
 
 
 _DEFAULTS = TargetPoolSettings()
