Check that a fleet recovers after faults, and that balance can return

Cause: the histories showed that nothing wrong happens, not that service returns; and no test moved a partition back to a node that was away.

Change: after histories with restarts or list changes the faults end, and each listed node must be ready and each partition held 40 s later; a scenario for partitions_to_move with release; a process without a VM list remembers 64 senders at most.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -62,6 +62,8 @@
 #: Heartbeats are spread by this share, so that nodes do not fall into step.
 _JITTER = 0.1
 _MAX_KEPT_HOMES = 4096
+#: Senders that a process without a VM list remembers.
+_MAX_UNLISTED_PEERS = 64
 
 
 @dataclasses.dataclass
@@ -361,10 +363,7 @@
         if sender.node == self.settings.node:
             self._counters.increment("fleet.messages.own")
             return []
-        # Without a VM list any node may say where to fetch one.
-        if self._vms.value is not None and (
-            sender.node not in self._lists.nodes()
-        ):
+        if not self._is_known(sender.node):
             self._counters.increment("fleet.messages.unlisted")
             return []
         state = self._peers.accept(sender, now_s)
@@ -503,6 +502,15 @@
         value = self._vms.value
         return frozenset() if value is None else value.nodes
 
+    def _is_known(self, node: NodeId) -> bool:
+        if self._vms.value is not None:
+            return node in self._lists.nodes()
+        # Without a VM list any node may say where to fetch one.
+        known = self._peers.all()
+        return len(known) < _MAX_UNLISTED_PEERS or any(
+            state.peer.node == node for state in known
+        )
+
     def _known_peers(self) -> list[PeerState]:
         if self._vms.value is None:
             return self._peers.all()
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/fleet.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/fleet.feature
@@ -34,6 +34,16 @@
     When a node releases its partitions
     Then the others hold all partitions 3 s later
 
+  Scenario: A node that comes back late never gets its partitions again
+    Given a ready fleet of 5 nodes
+    When a node is away for 10 s and the holders move partitions 45 s later
+    Then it holds its share of all partitions 5 s later
+
+  Scenario: Noise from unlisted senders fills the memory of a new process
+    Given a process without a VM list
+    When 1000 senders send a heartbeat
+    Then it remembers 64 of them
+
   Scenario: A refused configuration stops the fleet or is accepted in part
     Given a ready fleet of 3 nodes
     When a configuration without fields is published
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_history.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_history.py
@@ -51,6 +51,7 @@
     exchange_s=0.0,
     platform=None,
     world_type=FleetHistory,
+    recovers=False,
 ):
     world = world_type(plan.seed, plan.count, fleet_type, plan.faults)
     world.get_ready()
@@ -62,7 +63,9 @@
         world.act(kind, first, second)
         world.advance(seconds)
         assert not world.violations, world.violations[0]
-    return world
+    if recovers:
+        world.recover()
+    assert not world.violations, world.violations[0]
 
 
 def for_all(strategy, check, examples, shrink=True):
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_steps.py
@@ -1,14 +1,21 @@
+import random
+
 import msgspec
 from behave import given, then, when
 
+from egretrock.coordination.base import Peer
 from egretrock.coordination.fleet import (
     DocumentName,
+    Fleet,
+    FleetSettings,
+    Heartbeat,
 )
 from egretrock_standins.virtual import (
     Faults,
     FleetHistory,
     PlatformView,
     config_json,
+    node,
 )
 
 
@@ -96,6 +103,50 @@
     assert not context.world.held(context.node)
 
 
+@when(
+    "a node is away for {away:d} s and the holders move partitions "
+    "{later:d} s later"
+)
+def step_move(context, away, later):
+    sim = context.world.sim
+    before = context.world.held(context.node)
+    sim.kill(context.node)
+    context.world.advance(away)
+    sim.start(context.node)
+    context.world.advance(later)
+    assert before and not context.world.held(context.node)
+    for name, process in sim.processes.items():
+        now_s = process.now_s()
+        moved = frozenset(process.fleet.partitions_to_move(now_s))
+        sim.network.send(name, process.fleet.release(now_s, moved))
+
+
+@then("it holds its share of all partitions {seconds:d} s later")
+def step_moved(context, seconds):
+    context.world.advance(seconds)
+    assert 4 <= len(context.world.held(context.node)) <= 25
+    held = [len(context.world.held(name)) for name in context.world.listed]
+    assert sum(held) == 64, held
+    assert not context.world.violations, context.world.violations
+
+
+@given("a process without a VM list")
+def step_no_list(context):
+    context.fleet = Fleet(FleetSettings(node(0)), 1, random.Random(1), 0.0)
+
+
+@when("{count:d} senders send a heartbeat")
+def step_senders(context, count):
+    for n in range(1, count + 1):
+        sender = Peer(f"127.0.{n // 250}.{n % 250}:7000", n)
+        context.fleet.on_message(sender, Heartbeat(1), 0.0)
+
+
+@then("it remembers {count:d} of them")
+def step_remembers(context, count):
+    assert len(context.fleet.status(0.0).peers) == count
+
+
 @when("a configuration without fields is published")
 def step_bad_config(context):
     context.world.sim.publish(DocumentName.CONFIG, b"{}")
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/histories_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/histories_steps.py
@@ -27,13 +27,17 @@
 
 
 def run_restarts(plan, fleet_type):
-    run_plan(plan, fleet_type, world_type=RestartWorld)
+    run_plan(plan, fleet_type, world_type=RestartWorld, recovers=True)
 
 
 def run_publications(plan, fleet_type):
     run_plan(plan, fleet_type)
 
 
+def run_changes(plan, fleet_type):
+    run_plan(plan, fleet_type, recovers=True)
+
+
 def run_stale(plan, fleet_type):
     """Replicas are stale, but each node hears its peers in time."""
     run_plan(plan, fleet_type, 2.5, PlatformView.STALE)
@@ -50,7 +54,7 @@
         ),
         run_stale,
     ),
-    "list changes": (plans((*PUBLICATIONS, *CHANGES)), run_publications),
+    "list changes": (plans((*PUBLICATIONS, *CHANGES)), run_changes),
 }
 
 
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_history.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_history.py
@@ -24,6 +24,7 @@
 STEP_S = 0.05
 _CLOCK_FACTOR = 1.01
 _START_S = 15.0
+_RECOVERY_S = 40.0
 
 
 def node(number: int) -> NodeId:
@@ -106,13 +107,36 @@
             AssertionError: If a node is not ready in time.
         """
         self.advance(_START_S)
-        for name in self.sim.processes:
+        self._check_service()
+        self.sim.network.faults = self.faults
+
+    def recover(self) -> None:
+        """Ends all faults and starts what was killed.
+
+        Raises:
+            AssertionError: If a listed node is not ready in time, or a
+                partition has no holder.
+        """
+        self.sim.network.faults = Faults()
+        self.sim.heal()
+        for name in list(self.sim.frozen):
+            self.sim.wake(name)
+        for name in self.listed:
+            self.sim.set_view(name, PlatformView.CURRENT)
+            if name not in self.sim.processes:
+                self.sim.start(name)
+        self.advance(_RECOVERY_S)
+        self._check_service()
+
+    def _check_service(self) -> None:
+        for name in self.listed:
             if not self.status(name).ready:
-                raise AssertionError(f"{name}: {self.status(name)}")
+                raise AssertionError(
+                    f"{name} is not ready: {self.status(name)}"
+                )
         held = sum(len(self.held(name)) for name in self.listed)
         if held != PARTITION_COUNT:
-            raise AssertionError(f"{held} partitions are held")
-        self.sim.network.faults = self.faults
+            raise AssertionError(f"{held} partitions have a holder")
 
     def advance(self, seconds: float) -> None:
         """Lets virtual time pass and checks at each step."""
