Draw test ports below those of outgoing connections

Cause: a run beside other work failed with 'Address already in use': the port that was found free was taken before the node started.

Change: ports come from 10,000 to 31,999, outside the kernel's range for outgoing connections; two runs at once still may draw the same one.

--- a/packages/egretrock-standins/src/egretrock_standins/fleet_runner/_fleet.py
+++ b/packages/egretrock-standins/src/egretrock_standins/fleet_runner/_fleet.py
@@ -40,18 +40,23 @@
 #: Nodes confirm at a majority of peers and wait for hand-overs.
 NODE_READY_TIMEOUT_S = 40.0
 POLL_S = 0.1
+_PORTS = range(10_000, 32_000)
 
 
 def free_address(host: str) -> str:
-    """Returns ``"ip:port"`` of a port that is free for TCP and UDP."""
+    """Returns ``"ip:port"`` of a port that is free for TCP and UDP.
+
+    The port is drawn below those that the kernel gives to outgoing
+    connections, so that none of them takes it before the process starts.
+    """
     for _ in range(50):
+        port = secrets.randbelow(_PORTS.stop - _PORTS.start) + _PORTS.start
         with (
             socket.socket(socket.AF_INET, socket.SOCK_STREAM) as stream,
             socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as datagrams,
         ):
-            stream.bind((host, 0))
-            port = stream.getsockname()[1]
             try:
+                stream.bind((host, port))
                 datagrams.bind((host, port))
             except OSError:
                 continue
