Free the key of a payout whose caller leaves before the answer to its begin

Cause: an attempt was reported as not run while its question was still open; a repeated question could record it afterwards and block the key for its window.

Change: the report waits for the answer to the question.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -327,7 +327,12 @@
 
     def _on_begin(self, result: BeginResult, now_s: float) -> None:
         exchange = self._beginning.pop(result.attempt, None)
-        if exchange is None or exchange.is_done:
+        if exchange is None:
+            return
+        if exchange.is_done:
+            if result.outcome is BeginOutcome.FIRST:
+                # Its caller left before the answer, so the key is free again.
+                self._complete(exchange, RunState.NOT_RUN, None, now_s)
             return
         if result.outcome is BeginOutcome.FIRST:
             exchange.dispatch_until_s = result.dispatch_until_s
@@ -818,22 +823,31 @@
             )
         self.counters.increment(f"requests.{outcome}")
         now_s = self.now()
-        if exchange.attempt is not None and exchange.record is not None:
-            self._beginning.pop(exchange.attempt, None)
+        if (
+            exchange.attempt is not None
+            and exchange.record is not None
+            and exchange.attempt not in self._beginning
+        ):
             answered = outcome == "answered"
-            self._send(
-                self._parts.idempotency.complete(
-                    exchange.record,
-                    exchange.attempt,
-                    RunState.RUN if answered else exchange.run_state,
-                    status if answered else None,
-                    now_s,
-                )
-            )
+            state = RunState.RUN if answered else exchange.run_state
+            self._complete(exchange, state, status if answered else None, now_s)
         if self._waiting:
             # A home on this node may have passed the permit on at once.
             self._take_assignments(now_s)
 
+    def _complete(
+        self,
+        exchange: Exchange,
+        run_state: RunState,
+        status: int | None,
+        now_s: float,
+    ) -> None:
+        self._send(
+            self._parts.idempotency.complete(
+                exchange.record, exchange.attempt, run_state, status, now_s
+            )
+        )
+
     def _expire(self, exchange: Exchange) -> None:
         self.withdraw(exchange, CallOutcome.TIMEOUT)
         exchange.refuse(self._deadline_exceeded())
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -93,6 +93,9 @@
   Scenario: A keyed payout is sent after its record may be lost
     Then a payout that waits 0.5 s after its begin is not sent
 
+  Scenario: A payout whose caller has left blocks its idempotency key
+    Then the record is freed when the answer to its begin comes
+
   Scenario: A payout that was refused blocks its idempotency key
     When the organisation is over its rate
     And a payout with an idempotency key starts
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -336,6 +336,17 @@
     start(context, b"/payouts", b"POST", fields, b"pay")
 
 
+@then("the record is freed when the answer to its begin comes")
+def step_payout_left(context):
+    context.parts.idempotency.held = True
+    step_payout(context)
+    context.exchanges[0].on_caller_gone()
+    assert not context.parts.idempotency.complete.called
+    context.parts.idempotency.held = False
+    poll(context)
+    step_completed(context, "not_run", "none")
+
+
 @then("a payout that waits {wait_s:g} s after its begin is not sent")
 def step_payout_late(context, wait_s):
     context.parts.permits.held = True
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -119,6 +119,7 @@
         self.seen = set()
         self.results = []
         self.outcome = None
+        self.held = False
         self.complete = Mock(return_value=[])
 
     def begin(self, key, attempt, now_s):
@@ -130,6 +131,8 @@
         return []
 
     def poll(self, now_s):
+        if self.held:
+            return []
         results, self.results = self.results, []
         return results
 
