Take the idempotency values from their part

Cause: the request path compared results with its own copy of BeginOutcome, so the records of the daemon would never have matched.

Change: one definition of BeginOutcome, BeginResult and RecordKey; keys are digested by record_key.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
@@ -21,19 +21,14 @@
 )
 from egretrock_node.protocol.requests._values import (
     NO_ORGANISATION,
-    BeginOutcome,
-    BeginResult,
     InFlight,
     OutgoingRequest,
-    RecordKey,
     Stage,
     TryFailure,
 )
 
 __all__ = [
     "NO_ORGANISATION",
-    "BeginOutcome",
-    "BeginResult",
     "CallerPort",
     "Environment",
     "Exchange",
@@ -48,7 +43,6 @@
     "QuarantinePort",
     "QueuePort",
     "RatePort",
-    "RecordKey",
     "RequestPipeline",
     "RetryPort",
     "Stage",
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -2,6 +2,7 @@
 
 from typing import TYPE_CHECKING
 
+from egretrock.coordination.idempotency import RecordKey
 from egretrock.coordination.retries import fingerprint_of
 from egretrock.coordination.targets import CallOutcome, CallResult, Permit
 from egretrock.state.ids import (
@@ -33,7 +34,6 @@
 from egretrock_node.protocol.requests._values import (
     InFlight,
     OutgoingRequest,
-    RecordKey,
     Stage,
     TryFailure,
 )
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -4,6 +4,11 @@
 import itertools
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.idempotency import (
+    BeginOutcome,
+    BeginResult,
+    record_key,
+)
 from egretrock.coordination.queueing import QueuedRequest
 from egretrock.coordination.retries import CallFailure, CallState
 from egretrock.coordination.targets import (
@@ -66,10 +71,7 @@
 )
 from egretrock_node.protocol.requests._values import (
     NO_ORGANISATION,
-    BeginOutcome,
-    BeginResult,
     InFlight,
-    RecordKey,
     Stage,
     TryFailure,
 )
@@ -297,7 +299,7 @@
                 f"Idempotency-Key has {len(value)} bytes;"
                 f" at most {_MAX_IDEMPOTENCY_KEY_BYTES} are allowed"
             )
-        exchange.record = RecordKey(
+        exchange.record = record_key(
             exchange.organisation or NO_ORGANISATION,
             exchange.match.id,
             value.decode("latin-1"),
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.idempotency import BeginResult, RecordKey
 from egretrock.coordination.queueing import QueuedRequest
 from egretrock.coordination.retries import (
     CallFailure,
@@ -28,9 +29,7 @@
 from egretrock.state.outcome import Refusal, RunState
 from egretrock_node.protocol.http import AnswerHead
 from egretrock_node.protocol.requests._values import (
-    BeginResult,
     OutgoingRequest,
-    RecordKey,
     TryFailure,
 )
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_values.py
@@ -5,7 +5,6 @@
 import msgspec
 
 from egretrock.state.ids import (
-    AttemptId,
     OrganisationId,
     RequestId,
     RouteId,
@@ -84,29 +83,3 @@
     run_state: RunState
     message: str
     refused: bool = False
-
-
-class RecordKey(msgspec.Struct, frozen=True):
-    """Key of an idempotency record."""
-
-    organisation: OrganisationId
-    route: RouteId
-    key: str
-
-
-class BeginOutcome(enum.Enum):
-    """Answer to the question whether a key was used before."""
-
-    FIRST = "first"
-    SEEN = "seen"
-    UNAVAILABLE = "unavailable"
-
-
-class BeginResult(msgspec.Struct, frozen=True):
-    """Outcome of the start of a keyed request."""
-
-    attempt: AttemptId
-    outcome: BeginOutcome
-    run_state: RunState = RunState.UNKNOWN
-    status: int | None = None
-    dispatch_until_s: float = 0.0
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -5,6 +5,7 @@
 from behave import given, then, when
 from expression import Error
 
+from egretrock.coordination.idempotency import BeginOutcome
 from egretrock.state.config import (
     DataCentre,
     DataCentreState,
@@ -17,7 +18,7 @@
     RunState,
 )
 from egretrock_node.protocol.http import AnswerHead, RequestHead
-from egretrock_node.protocol.requests import BeginOutcome, TryFailure
+from egretrock_node.protocol.requests import TryFailure
 from egretrock_node.tests.path_fakes import (
     CountingCounters,
     make_config,
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -6,6 +6,7 @@
 
 from expression import Ok
 
+from egretrock.coordination.idempotency import BeginOutcome, BeginResult
 from egretrock.coordination.retries import RetryDecision
 from egretrock.coordination.targets import Assignment, Permit
 from egretrock.state.config import (
@@ -25,8 +26,6 @@
     digest_key,
 )
 from egretrock_node.protocol.requests import (
-    BeginOutcome,
-    BeginResult,
     Environment,
     Parts,
     PipelineSettings,
