Refuse fleet times under which an old VM list ends before its votes

Cause: a replaced VM list stops counting growth_s after its adoption. With a short freshness_s a vote given under it could still count then.

Change: FleetSettings refuses freshness_s x 1.5 below vote_s x 1.01.

The full make test was not run again after this change.

Conclusion: the exclusion of partitions holds for all times that are accepted.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_settings.py
@@ -32,6 +32,10 @@
         Traceback (most recent call last):
         ...
         ValueError: vote_s is 1.0; it must be at least 3 x heartbeat_s, 3.0
+        >>> FleetSettings(NodeId("127.0.0.1:7000"), vote_s=7.0)
+        Traceback (most recent call last):
+        ...
+        ValueError: freshness_s is 4.0; it must be at least 4.71 for this vote_s
     """
 
     node: NodeId
@@ -46,7 +50,9 @@
         """Checks the times.
 
         A vote is asked for, answered one heartbeat later and renewed one
-        heartbeat after that, so shorter votes would lapse in between.
+        heartbeat after that, so shorter votes would lapse in between. A VM
+        list that was replaced counts for ``growth_s``, and votes given under
+        it must have ended by then.
 
         Raises:
             ValueError: If a time is too short.
@@ -58,6 +64,11 @@
                     f"{name} is {value}; it must be at least "
                     f"3 x heartbeat_s, {least}"
                 )
+        if self.growth_s < self.promise_s:
+            raise ValueError(
+                f"freshness_s is {self.freshness_s}; it must be at least "
+                f"{self.promise_s / GROWTH_FACTOR:.2f} for this vote_s"
+            )
         for name in ("handover_s", "heartbeat_s", "alive_s", "rebalance_s"):
             value = getattr(self, name)
             if value <= 0:
