--- a/packages/egretrock-core/src/egretrock/coordination/targets/tests/steps/seams.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/tests/steps/seams.py
@@ -35,6 +35,11 @@
     return True
 
 
+def _believe(record, health, outstanding, now_s):
+    record._excess = outstanding - health.slots
+    record._excess_until_s = now_s + 1.0
+
+
 HOME, CLIENT = _home.ServiceHome, _client.TargetClient
 RECORD, BUDGET = _record.TargetRecord, _probes.ProbeBudget
 SEAMS = {
@@ -51,6 +56,7 @@
     "return_ramp": (RECORD, "restart_ramp", lambda *_: None),
     "draining": (RECORD, "on_condition", lambda *_: None),
     "on_the_way": (RECORD, "_on_the_way", lambda *_: 0),
+    "lower_only": (RECORD, "on_load", _believe),
     "trials": (RECORD, "keep_one", lambda *_: None),
     "standing": (_home, "STANDING_SHARE", 0.0),
     "own_choice": (CLIENT, "_choose_locally", lambda *_: None),
