--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/histories_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/histories_steps.py
@@ -3,21 +3,20 @@
 from fleet_history import (
     NETWORK,
     PLATFORM,
-    PlatformView,
-    World,
     for_all,
     plans,
     run_plan,
 )
 
 from egretrock.coordination.fleet import Fleet
+from egretrock_standins.virtual import FleetHistory, PlatformView
 
 RESTARTS = ("kill", "restart_any", "restart_all", "release", "platform_stale")
 PUBLICATIONS = (*NETWORK, *PLATFORM, "restart", "publish")
 CHANGES = ("add_vm", "remove_vm", "replace_vm")
 
 
-class RestartWorld(World):
+class RestartWorld(FleetHistory):
     """Whole-fleet restarts may forget a revision, but not a vote."""
 
     def check_freshness(self):
@@ -28,13 +27,17 @@
 
 
 def run_restarts(plan, fleet_type):
-    run_plan(plan, fleet_type, world_type=RestartWorld)
+    run_plan(plan, fleet_type, world_type=RestartWorld, recovers=True)
 
 
 def run_publications(plan, fleet_type):
     run_plan(plan, fleet_type)
 
 
+def run_changes(plan, fleet_type):
+    run_plan(plan, fleet_type, recovers=True)
+
+
 def run_stale(plan, fleet_type):
     """Replicas are stale, but each node hears its peers in time."""
     run_plan(plan, fleet_type, 2.5, PlatformView.STALE)
@@ -51,7 +54,7 @@
         ),
         run_stale,
     ),
-    "list changes": (plans((*PUBLICATIONS, *CHANGES)), run_publications),
+    "list changes": (plans((*PUBLICATIONS, *CHANGES)), run_changes),
 }
 
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -1,8 +1,8 @@
 """One request: its state, and what its caller and its target tell."""
 
-import hashlib
 from typing import TYPE_CHECKING
 
+from egretrock.coordination.retries import fingerprint_of
 from egretrock.coordination.targets import CallOutcome, CallResult, Permit
 from egretrock.state.ids import (
     AttemptId,
@@ -41,7 +41,6 @@
 if TYPE_CHECKING:
     from egretrock_node.protocol.requests._pipeline import RequestPipeline
 
-_FINGERPRINT_BYTES = 4096
 #: Methods for which an empty body is announced by Content-Length.
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 
@@ -57,6 +56,8 @@
         head: The head as received.
         match: Route and profile, or None where none was found.
         organisation: Owner of the key, or None on an open route.
+        dispatch_until_s: Time from which a keyed request must not be sent,
+            because its record may no longer be held.
         ticket: Ticket at the permits part while waiting; requests that wait
             for the same service may exchange theirs.
         queue_ticket: Ticket in the fair queue while waiting there.
@@ -92,10 +93,13 @@
         self.query: bytes | None = None
         self.stage = Stage.BODY
         self.run_state = RunState.NOT_RUN
-        self.body = BodyBuffer(pipeline.settings.max_body_buffer_bytes)
+        self.body = BodyBuffer(
+            pipeline.settings.max_body_buffer_bytes, pipeline.body_budget
+        )
         self.fingerprint: Fingerprint | None = None
         self.record: RecordKey | None = None
         self.attempt: AttemptId | None = None
+        self.dispatch_until_s = float("inf")
         self.ticket: TicketId | None = None
         self.queue_ticket: TicketId | None = None
         self.token_until_s = 0.0
@@ -116,6 +120,9 @@
             return
         call = self.call
         sending = call is not None and call.is_sending
+        if not sending and self._pipeline.body_budget.is_exhausted:
+            self._pipeline.refuse_body(self)
+            return
         self.body.add(data, sending)
         if call is not None and sending:
             call.progress_s = self._pipeline.now()
@@ -247,21 +254,14 @@
     def seal_fingerprint(self) -> Fingerprint:
         """Computes the digest that identifies equal requests."""
         head = self.head
-        digest = hashlib.blake2b(digest_size=16)
-        fields = (
-            (self.organisation or "").encode(),
-            head.method,
-            head.path,
-            self.query or b"",
-            b"%d"
-            % (-1 if head.content_length is None else head.content_length),
+        self.fingerprint = fingerprint_of(
+            self.organisation,
+            head.method.decode("latin-1"),
+            head.path.decode("latin-1"),
+            (self.query or b"").decode("latin-1"),
+            head.content_length,
+            bytes(self.body.held),
         )
-        # Lengths keep two different splits of the same bytes apart.
-        for field in fields:
-            digest.update(b"%d:" % len(field))
-            digest.update(field)
-        digest.update(self.body.held[:_FINGERPRINT_BYTES])
-        self.fingerprint = Fingerprint(digest.hexdigest())
         return self.fingerprint
 
     def send_continue(self) -> None:
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -4,6 +4,8 @@
 import itertools
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.queueing import QueuedRequest
+from egretrock.coordination.retries import CallFailure, CallState
 from egretrock.coordination.targets import (
     Assignment,
     CallOutcome,
@@ -45,6 +47,7 @@
     header_values,
     is_in_path,
 )
+from egretrock_node.protocol.requests._body import BodyBudget
 from egretrock_node.protocol.requests._exchange import (
     Exchange,
     Try,
@@ -65,10 +68,7 @@
     NO_ORGANISATION,
     BeginOutcome,
     BeginResult,
-    CallFailure,
-    CallState,
     InFlight,
-    QueuedRequest,
     RecordKey,
     Stage,
     TryFailure,
@@ -127,6 +127,7 @@
         self._send_out = environment.send
         self.counters: Counters = environment.counters
         self.settings = settings
+        self.body_budget = BodyBudget(settings.max_held_body_bytes)
         self._credentials = credentials
         self.protocol = protocol
         self._ids = RequestIds(incarnation)
@@ -145,6 +146,8 @@
         self._suspicions = Suspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
         self._refuses_new = False
+        self._is_taking = False
+        self._take_again = False
 
     def now(self) -> float:
         """Returns the time of the node's clock, in seconds."""
@@ -182,8 +185,7 @@
             self._on_begin(result, now_s)
         for organisation in list(self._token_waiters):
             self._serve_token_waiters(organisation, now_s)
-        for assignment in self._parts.permits.poll(now_s):
-            self._on_assignment(assignment, now_s)
+        self._take_assignments(now_s)
 
     def refuse_new(self) -> None:
         """Refuses requests that start from now on; for the end of a drain."""
@@ -199,6 +201,14 @@
         """Number of requests that have no complete answer yet."""
         return len(self._in_flight)
 
+    def refuse_body(self, exchange: Exchange) -> None:
+        """Refuses a request whose body the node has no memory for."""
+        self.withdraw(exchange, CallOutcome.UNUSED)
+        message = f"{self.body_budget.held_bytes} bytes of bodies wait"
+        exchange.refuse(
+            Refusal(RefusalCode.QUEUE_FULL, RunState.NOT_RUN, message, 1000)
+        )
+
     def cut(self) -> list[InFlight]:
         """Ends all requests at once and returns what was cut off."""
         report = self.in_flight()
@@ -320,6 +330,7 @@
         if exchange is None or exchange.is_done:
             return
         if result.outcome is BeginOutcome.FIRST:
+            exchange.dispatch_until_s = result.dispatch_until_s
             refusal = self._check_again(exchange, now_s)
             if refusal is not None:
                 exchange.refuse(refusal)
@@ -329,7 +340,7 @@
         # The record is not this attempt's, so its end is not reported.
         exchange.record = None
         if result.outcome is BeginOutcome.SEEN:
-            state = result.run_state or RunState.UNKNOWN
+            state = result.run_state
             status = f", status {result.status}" if result.status else ""
             message = (
                 "the Idempotency-Key was used before; run state of the first"
@@ -338,9 +349,7 @@
             code = RefusalCode.DUPLICATE_REQUEST
             exchange.refuse(Refusal(code, state, message))
         else:
-            message = "no node can tell whether the Idempotency-Key was used"
-            code = RefusalCode.IDEMPOTENCY_UNAVAILABLE
-            exchange.refuse(no_answer(code, message))
+            exchange.refuse(self._idempotency_unavailable())
 
     def _admit_first(self, exchange: Exchange, now_s: float) -> None:
         fingerprint = exchange.seal_fingerprint()
@@ -435,8 +444,25 @@
                 now_s,
             )
         )
-        for assignment in self._parts.permits.poll(now_s):
-            self._on_assignment(assignment, now_s)
+        self._take_assignments(now_s)
+
+    def _take_assignments(self, now_s: float) -> None:
+        """Uses the permits that came in.
+
+        The use of one may bring the next, so calls that arrive meanwhile
+        repeat the loop in place of nesting.
+        """
+        self._take_again = True
+        if self._is_taking:
+            return
+        self._is_taking = True
+        try:
+            while self._take_again:
+                self._take_again = False
+                for assignment in self._parts.permits.poll(now_s):
+                    self._on_assignment(assignment, now_s)
+        finally:
+            self._is_taking = False
 
     def _on_assignment(self, assignment: Assignment, now_s: float) -> None:
         exchange = self._waiting.pop(assignment.ticket, None)
@@ -494,6 +520,8 @@
         if refusal is None:
             checked = self._parts.quarantine.check(exchange.fingerprint, now_s)
             refusal = checked.error if checked.is_error() else None
+        if refusal is None and now_s >= exchange.dispatch_until_s:
+            refusal = self._idempotency_unavailable()
         if refusal is not None:
             self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
             exchange.refuse(refusal)
@@ -789,19 +817,22 @@
                 exchange.slot_time_s,
             )
         self.counters.increment(f"requests.{outcome}")
-        if exchange.attempt is None or exchange.record is None:
-            return
-        self._beginning.pop(exchange.attempt, None)
-        answered = outcome == "answered"
-        self._send(
-            self._parts.idempotency.complete(
-                exchange.record,
-                exchange.attempt,
-                RunState.RUN if answered else exchange.run_state,
-                status if answered else None,
-                self.now(),
+        now_s = self.now()
+        if exchange.attempt is not None and exchange.record is not None:
+            self._beginning.pop(exchange.attempt, None)
+            answered = outcome == "answered"
+            self._send(
+                self._parts.idempotency.complete(
+                    exchange.record,
+                    exchange.attempt,
+                    RunState.RUN if answered else exchange.run_state,
+                    status if answered else None,
+                    now_s,
+                )
             )
-        )
+        if self._waiting:
+            # A home on this node may have passed the permit on at once.
+            self._take_assignments(now_s)
 
     def _expire(self, exchange: Exchange) -> None:
         self.withdraw(exchange, CallOutcome.TIMEOUT)
@@ -844,6 +875,11 @@
         if messages:
             self._send_out(messages)
 
+    @staticmethod
+    def _idempotency_unavailable() -> Refusal:
+        message = "no node can tell whether the Idempotency-Key was used"
+        return no_answer(RefusalCode.IDEMPOTENCY_UNAVAILABLE, message)
+
     @staticmethod
     def _key_unknown() -> Refusal:
         message = "the key is not published, or was withdrawn"
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -90,6 +90,9 @@
     And a payout with an idempotency key starts
     Then it is refused unsent with idempotency_unavailable and not_run
 
+  Scenario: A keyed payout is sent after its record may be lost
+    Then a payout that waits 0.5 s after its begin is not sent
+
   Scenario: A payout that was refused blocks its idempotency key
     When the organisation is over its rate
     And a payout with an idempotency key starts
@@ -118,5 +121,8 @@
     When a body larger than the buffer is sent and the connection lost
     Then it is refused with target_failed and unknown
 
+  Scenario: Waiting bodies fill the memory
+    Then 100 waiting bodies of 60 KB hold at most 2 MB, and all is freed
+
   Scenario: A stop does not tell what it cuts off
     Then the report of a cut names sent as unknown and queued as not_run
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -6,6 +6,7 @@
 
 from expression import Ok
 
+from egretrock.coordination.retries import RetryDecision
 from egretrock.coordination.targets import Assignment, Permit
 from egretrock.state.config import (
     Access,
@@ -30,7 +31,6 @@
     Parts,
     PipelineSettings,
     RequestPipeline,
-    RetryDecision,
 )
 
 KEY = "secret-key"
@@ -125,7 +125,8 @@
         first = BeginOutcome.SEEN if key in self.seen else BeginOutcome.FIRST
         self.seen.add(key)
         outcome = self.outcome or first
-        self.results.append(BeginResult(attempt, outcome, RunState.RUN, 200))
+        result = BeginResult(attempt, outcome, RunState.RUN, 200, now_s + 0.5)
+        self.results.append(result)
         return []
 
     def poll(self, now_s):
@@ -164,7 +165,7 @@
         parts,
         targets,
         Environment(clock, lambda messages: None, counters),
-        PipelineSettings("east"),
+        PipelineSettings("east", max_held_body_bytes=1_000_000),
         KeyCredentials(),
         TargetProtocol(),
         1,
