--- a/packages/egretrock-core/src/egretrock/coordination/limits/_organisation.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_organisation.py
@@ -180,13 +180,13 @@
             self.hold_off_until_s = now_s + self._settings.short_wait_s
 
     def _target(self, now_s: float) -> float:
-        """Expected demand of the horizon plus two standard deviations."""
+        """Expected demand of the horizon plus one standard deviation."""
         missed = self._missed_now(now_s)
         demand_per_s = self.demand.per_s(now_s)
         if demand_per_s < self._settings.ask_ahead_per_s:
             return missed
         mean = demand_per_s * self._settings.horizon_s
-        return mean + 2 * math.sqrt(mean) + missed
+        return mean + math.sqrt(mean) + missed
 
     def _stock(self, now_s: float) -> float:
         return self.wallet.total(now_s) + self.pool.level
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_settings.py
@@ -43,8 +43,8 @@
     """
 
     grant_s: float = 0.3
-    lease_s: float = 1.0
-    renew_s: float = 0.3
+    lease_s: float = 0.8
+    renew_s: float = 0.25
     handover_s: float = 3.0
     handover_lease_s: float = 1.9
     clock_margin: float = 1.01
@@ -59,7 +59,7 @@
     claim_s: float = 0.3
     horizon_s: float = 0.1
     extend_s: float = 0.1
-    low_water: float = 0.7
+    low_water: float = 0.5
     demand_s: float = 0.5
     ask_ahead_per_s: float = 1.0
     lend_ratio: float = 0.5
