--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_bootstrap.py
@@ -0,0 +1,154 @@
+"""Start of a process: it catches up before it counts."""
+
+import msgspec
+
+from egretrock.coordination.fleet._documents import DocumentName
+from egretrock.coordination.fleet._messages import NodeFlag
+from egretrock.coordination.fleet._peers import PeerState
+from egretrock.coordination.fleet._settings import FleetSettings
+from egretrock.state.ids import Revision
+from egretrock.state.membership import VmList, majority_size
+
+
+class Knowledge(msgspec.Struct, frozen=True):
+    """What a starting process knows.
+
+    Attributes:
+        vm_list: VM list in force.
+        vms_accepted_s: When it was accepted.
+        vms_in_force: Its revision.
+        seen: Highest revision known of each document.
+        confirmed_s: Time of the older of the two latest confirmations.
+    """
+
+    vm_list: VmList
+    vms_accepted_s: float
+    vms_in_force: Revision
+    seen: dict[DocumentName, Revision]
+    confirmed_s: float
+
+
+class Bootstrap:
+    """Decides when a new process has caught up with the fleet.
+
+    A revision that a majority accepted must not be lost when one of that
+    majority restarts. So the new process needs answers from so many
+    *other* established processes that each majority contains one of them:
+    ``count - majority_size(count) + 1``. To count itself would be wrong: of
+    three nodes, it and one that missed the revision would be a majority.
+
+    Where a majority of the listed processes are new, nothing remembers more
+    than they do, and their highest revision is enough.
+
+    Args:
+        settings: Times.
+        start_s: Start of the process.
+    """
+
+    def __init__(self, settings: FleetSettings, start_s: float) -> None:
+        self._settings = settings
+        self._start_s = start_s
+        self.established_s: float | None = None
+        self.exclusive_from_s = float("inf")
+
+    @property
+    def is_established(self) -> bool:
+        """Whether the process has caught up."""
+        return self.established_s is not None
+
+    def can_vote(self, now_s: float) -> bool:
+        """Whether all promises of the predecessor process have ended."""
+        waited = now_s >= self._start_s + self._settings.promise_s
+        return self.is_established and waited
+
+    def is_handed_over(self, now_s: float) -> bool:
+        """Whether all leases and grants of the predecessor have ended."""
+        return now_s >= self._start_s + self._settings.handover_s
+
+    def evaluate(
+        self, known: Knowledge, peers: list[PeerState], now_s: float
+    ) -> bool:
+        """Establishes the process if it has caught up.
+
+        Args:
+            known: What it knows.
+            peers: Listed peers that were heard.
+            now_s: Current time.
+
+        Returns:
+            Whether the process is established by this call.
+        """
+        node, settings = self._settings.node, self._settings
+        if self.is_established or node not in known.vm_list.vms:
+            return False
+        if now_s > known.confirmed_s + settings.freshness_s:
+            return False
+        if any(_knows_more(peer, known) for peer in peers):
+            return False
+        answered = [p for p in peers if p.answered_s is not None]
+        if self._has_met_established(known, answered):
+            self.established_s = now_s
+        elif self._has_met_new_majority(known, answered, now_s):
+            self.established_s = now_s
+            settled_s = known.vms_accepted_s + settings.growth_s
+            self.exclusive_from_s = settled_s
+        return self.is_established
+
+    def settle(
+        self, known: Knowledge, peers: list[PeerState], now_s: float
+    ) -> None:
+        """Decides from when shares and partitions may be used.
+
+        The process does not know which lists the one in force replaces, and
+        a majority of such a list may go on without it. So it waits until an
+        established process says that no change is going on, or until all
+        listed processes say that they know of no earlier list.
+        """
+        if not self.is_established or self.exclusive_from_s < float("inf"):
+            return
+        current = [p for p in peers if p.vms_in_force == known.vms_in_force]
+        if any(peer.has(NodeFlag.SETTLED) for peer in current):
+            self.exclusive_from_s = now_s
+            return
+        alive_s = now_s - self._settings.alive_s
+        unchanging = [
+            peer
+            for peer in current
+            if peer.heard_s >= alive_s and not peer.has(NodeFlag.CHANGING)
+        ]
+        if len(unchanging) == len(known.vm_list.vms) - 1:
+            self.exclusive_from_s = now_s + self._settings.growth_s
+
+    def _has_met_established(
+        self, known: Knowledge, answered: list[PeerState]
+    ) -> bool:
+        count = len(known.vm_list.vms)
+        established = sum(
+            peer.has(NodeFlag.ESTABLISHED)
+            and peer.vms_in_force == known.vms_in_force
+            and peer.peer.node in known.vm_list.vms
+            for peer in answered
+        )
+        return established >= self._needed(count)
+
+    def _has_met_new_majority(
+        self, known: Knowledge, answered: list[PeerState], now_s: float
+    ) -> bool:
+        new_count = 1 + sum(
+            not peer.has(NodeFlag.ESTABLISHED)
+            and peer.peer.node in known.vm_list.vms
+            for peer in answered
+        )
+        enough = majority_size(len(known.vm_list.vms))
+        # The wait leaves established processes time to answer.
+        return new_count >= enough and self.is_handed_over(now_s)
+
+    def _needed(self, count: int) -> int:
+        return count - majority_size(count) + 1
+
+
+def _knows_more(peer: PeerState, known: Knowledge) -> bool:
+    return (
+        peer.config_seen > known.seen[DocumentName.CONFIG]
+        or peer.vms_seen > known.seen[DocumentName.VMS]
+    )
--- /dev/null
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_mutants.py
@@ -0,0 +1,112 @@
+"""Fleets with one rule switched off, to show that the checks find it."""
+
+from egretrock.coordination.fleet import Fleet
+from egretrock.coordination.fleet._bootstrap import Bootstrap
+from egretrock.coordination.fleet._documents import DocumentStore
+from egretrock.coordination.fleet._freshness import Freshness
+from egretrock.coordination.fleet._lists import ListHistory
+from egretrock.coordination.fleet._partitions import PartitionHolder, Voter
+from egretrock.coordination.fleet._peers import QuestionLog
+
+
+def fleet_with(place, part, **methods):
+    return type("Mutant", (Fleet,), {place: type("Part", (part,), methods)})
+
+
+def accept_older(self, revision, value, now_s):
+    if value is not None and revision != self.seen:
+        self.latest = None
+    return DocumentStore.offer(self, revision, value, now_s)
+
+
+def count_from_zero(self, rng, keep_s):
+    QuestionLog.__init__(self, rng, keep_s)
+    self.latest = 0
+
+
+def adopt_by_time(self, node, revision, now_s):
+    for replaced in self._replaced:
+        replaced.adopted_s = replaced.adopted_s or now_s
+
+
+def establish_at_once(self, known, peers, now_s):
+    if self.established_s is None:
+        self.established_s = self.exclusive_from_s = now_s
+        return True
+    return False
+
+
+def settle_at_once(self, known, peers, now_s):
+    if self.is_established:
+        self.exclusive_from_s = min(now_s, self.exclusive_from_s)
+
+
+VotesFromReceipt = fleet_with(
+    "holder_type",
+    PartitionHolder,
+    _expires_s=lambda self, sent_s, now_s: now_s + self._vote_s,
+)
+VotesRightAfterStart = fleet_with(
+    "bootstrap_type",
+    Bootstrap,
+    can_vote=lambda self, now_s: self.is_established,
+)
+PromisesWithoutClockFactor = fleet_with(
+    "voter_type",
+    Voter,
+    __init__=lambda self, promise_s: Voter.__init__(self, promise_s / 1.01),
+)
+ReleasesLaterVotes = fleet_with(
+    "voter_type",
+    Voter,
+    free=lambda self, by, last, some: Voter.free(self, by, 2**64, some),
+)
+QuestionsNumberedFromZero = fleet_with(
+    "questions_type", QuestionLog, __init__=count_from_zero
+)
+AcceptsOlderRevisions = fleet_with(
+    "store_type", DocumentStore, offer=accept_older
+)
+AcceptsOlderRevisions.seen_revision = lambda self, document: 0
+NewProcessCountsItself = fleet_with(
+    "bootstrap_type", Bootstrap, _needed=lambda self, count: count // 2
+)
+NewProcessCountsAtOnce = fleet_with(
+    "bootstrap_type", Bootstrap, evaluate=establish_at_once
+)
+NewProcessUsesItsShareAtOnce = fleet_with(
+    "bootstrap_type", Bootstrap, settle=settle_at_once
+)
+ChangeEndsByTimeAlone = fleet_with(
+    "lists_type", ListHistory, report=adopt_by_time
+)
+ListsChangeAtOnce = fleet_with(
+    "lists_type",
+    ListHistory,
+    adopt=lambda self, vms, revision, keep, now_s: ListHistory.adopt(
+        self, vms, revision, False, now_s
+    ),
+)
+NoConfirmationByPeers = fleet_with(
+    "freshness_type", Freshness, confirm_by_peer=lambda *arguments: None
+)
+OneAnswerConfirms = fleet_with(
+    "freshness_type",
+    Freshness,
+    confirmed_s=lambda self, name: max(self._agreed_s[name].values()),
+)
+
+
+class AnswersFromReceipt(Fleet):
+    def _take_answer(self, body, state, sent_s, now_s):
+        super()._take_answer(body, state, now_s, now_s)
+
+
+class ReadsFromReceipt(Fleet):
+    def on_document(self, document, revision, value, sent_s, now_s):
+        return super().on_document(document, revision, value, now_s, now_s)
+
+
+class PlatformOverrulesPeers(Fleet):
+    def _confirm_by_platform(self, document, offer, sent_s):
+        self._freshness.confirm_by_platform(document, sent_s)
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -0,0 +1,172 @@
+"""Permissive coordination parts and a configuration, for the path's tests."""
+
+import collections
+import time
+from unittest.mock import Mock
+
+from expression import Ok
+
+from egretrock.coordination.retries import RetryDecision
+from egretrock.coordination.targets import Assignment, Permit
+from egretrock.state.config import (
+    Access,
+    DataCentre,
+    Organisation,
+    Profile,
+    PublishedConfig,
+    Route,
+    Service,
+    Target,
+)
+from egretrock.state.outcome import RunState
+from egretrock_node.protocol.http import (
+    KeyCredentials,
+    TargetProtocol,
+    digest_key,
+)
+from egretrock_node.protocol.requests import (
+    BeginOutcome,
+    BeginResult,
+    Environment,
+    Parts,
+    PipelineSettings,
+    RequestPipeline,
+)
+
+KEY = "secret-key"
+
+
+def make_config(addresses, deadline_ms=10_000, keys=(KEY,)):
+    targets = {
+        f"t{number}": Target(address, "east", 2)
+        for number, address in enumerate(addresses)
+    }
+    return PublishedConfig(
+        organisations={"acme": Organisation(1000, 1000)},
+        data_centres={"east": DataCentre()},
+        profiles={"plain": Profile(deadline_ms=deadline_ms)},
+        services={"records": Service("plain", targets)},
+        routes={
+            "records": Route("/records", "records", idempotent=True),
+            "payouts": Route("/payouts", "records", ["POST"]),
+            "open": Route("/open", "records", access=Access.OPEN),
+        },
+        keys={digest_key(key.encode()): "acme" for key in keys},
+    )
+
+
+def fake(**values):
+    """A part whose methods return the values; it records its calls."""
+    return Mock(**{f"{k}.return_value": v for k, v in values.items()})
+
+
+class FakeQueue:
+    def __init__(self):
+        self.items = []
+        self.offer = lambda item, now_s: self.items.append(item) or Ok(None)
+        self.evicted = Mock(return_value=[])
+        self.full_refusal, self.settle, self.expire = Mock(), Mock(), Mock()
+
+    def take(self, service, now_s):
+        return self.items.pop(0) if self.items else None
+
+
+class FakePermits:
+    """Gives each request a permit for the first target that may run it."""
+
+    def __init__(self, fleet):
+        self._fleet = fleet
+        self.held = False
+        self.asked = {}
+        self.results = []
+        self.may_dispatch = Mock(return_value=True)
+        self.connection_lost = Mock(return_value=[])
+        self.pool_empty = Mock(return_value=[])
+
+    def request(
+        self, ticket, service, organisation, excluded, deadline_s, now_s
+    ):
+        self.asked[ticket] = (service, excluded)
+        return []
+
+    def poll(self, now_s):
+        assignments = []
+        for ticket, (service, excluded) in list(self.asked.items()):
+            targets = self._fleet.config().services[service].targets
+            left = [name for name in targets if name not in excluded]
+            if left and not self.held:
+                del self.asked[ticket]
+                address = targets[left[0]].address
+                permit = Permit(
+                    1, service, left[0], address, None, now_s + 1, True
+                )
+                assignments.append(Assignment(ticket, permit))
+        return assignments
+
+    def finish(self, permit, result, now_s):
+        self.results.append(result)
+        return []
+
+    def cancel(self, ticket, now_s):
+        del self.asked[ticket]
+        return []
+
+
+class FakeIdempotency:
+    """Remembers keys in memory; ``outcome`` overrides the answer."""
+
+    def __init__(self):
+        self.seen = set()
+        self.results = []
+        self.outcome = None
+        self.complete = Mock(return_value=[])
+
+    def begin(self, key, attempt, now_s):
+        first = BeginOutcome.SEEN if key in self.seen else BeginOutcome.FIRST
+        self.seen.add(key)
+        outcome = self.outcome or first
+        result = BeginResult(attempt, outcome, RunState.RUN, 200, now_s + 0.5)
+        self.results.append(result)
+        return []
+
+    def poll(self, now_s):
+        results, self.results = self.results, []
+        return results
+
+
+class CountingCounters:
+    def __init__(self):
+        self.counts = collections.Counter()
+        self.gauge = Mock()
+
+    def increment(self, name, count=1):
+        self.counts[name] += count
+
+
+def make_parts(config):
+    fleet = fake(is_fresh=True, is_ready=True, config=config)
+    retries = Mock()
+    retries.may_retry = Mock(
+        side_effect=lambda call, failure, now_s: RetryDecision(call.tries < 3)
+    )
+    return Parts(
+        fleet=fleet,
+        limits=fake(admit=Ok(None), wait_until_s=None, flush=[]),
+        queue=FakeQueue(),
+        permits=FakePermits(fleet),
+        retries=retries,
+        quarantine=fake(check=Ok(None), report=[], clear=[]),
+        idempotency=FakeIdempotency(),
+    )
+
+
+def make_pipeline(parts, targets, counters, clock=time.monotonic):
+    return RequestPipeline(
+        parts,
+        targets,
+        Environment(clock, lambda messages: None, counters),
+        PipelineSettings("east", max_held_body_bytes=1_000_000),
+        KeyCredentials(),
+        TargetProtocol(),
+        1,
+    )
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/caller_steps.py
@@ -0,0 +1,282 @@
+import json
+import socket
+import threading
+import time
+
+from behave import then
+
+from egretrock_node.tests.path_world import (
+    GET,
+    KEY,
+    OK,
+    POST,
+    World,
+    in_reactor,
+    ok,
+    wait_until,
+)
+
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+LAST = b"0\r\n\r\n"
+FAULTS = [
+    # Both lengths, in both orders.
+    POST + b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n" + LAST,
+    POST + b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n" + LAST,
+    # Repeated and malformed lengths.
+    POST + b"Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+    POST + b"Content-Length: 5, 5\r\n\r\nhello",
+    POST + b"Content-Length: +5\r\n\r\nhello",
+    POST + b"Content-Length: -1\r\n\r\n",
+    POST + b"Content-Length: 0x5\r\n\r\nhello",
+    POST + b"Content-Length:\r\n\r\n",
+    POST + b"Content-Length: " + b"1" * 25 + b"\r\n\r\n",
+    # Codings other than one "chunked".
+    POST + b"Transfer-Encoding: identity\r\nContent-Length: 5\r\n\r\nhello",
+    POST + b"Transfer-Encoding: chunked\r\n" * 2 + b"\r\n" + LAST,
+    POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n" + LAST,
+    POST + b"Transfer-Encoding: gzip\r\n\r\n",
+    CHUNKED.replace(b"HTTP/1.1", b"HTTP/1.0") + LAST,
+    # Lines: bare LF and CR, NUL, folding, field names.
+    GET.replace(b"1.1\r\n", b"1.1\n") + b"\r\n",
+    GET + b"X-A: 1\nX-B: 2\r\n\r\n",
+    GET + b"X-A: 1\rX-B: 2\r\n\r\n",
+    GET + b"X-A: 1\x002\r\n\r\n",
+    GET + b"X-A: 1\r\n 2\r\n\r\n",
+    GET.replace(b"Host", b" Host") + b"\r\n",
+    GET + b"Content-Length : 5\r\n\r\nhello",
+    GET + b"X-A\r\n\r\n",
+    GET + b": 1\r\n\r\n",
+    # Request line, Host and Expect.
+    GET.replace(b" HTTP", b"  HTTP") + b"\r\n",
+    GET.replace(b"HTTP/1.1", b"HTTP/2.0") + b"\r\n",
+    GET.replace(b"HTTP/1.1", b"http/1.1") + b"\r\n",
+    GET.replace(b"/1 ", b"/\x80 ") + b"\r\n",
+    GET.replace(b"/1 ", b"/1#a ") + b"\r\n",
+    GET.replace(b"/records/1", b"a:80") + b"\r\n",
+    GET.replace(b"Host: a\r\n", b"") + b"\r\n",
+    GET + b"Host: b\r\n\r\n",
+    POST + b"Expect: 200-ok\r\n\r\n",
+    # Too large.
+    GET + b"X-A: " + b"a" * 20_000 + b"\r\n\r\n",
+    GET + (b"X-A: " + b"a" * 1000 + b"\r\n") * 20 + b"\r\n",
+    b"GET /" + b"a" * 40_000,
+    GET + b"X: 1\r\n" * 300 + b"\r\n",
+    # Chunks.
+    CHUNKED + b"xyz\r\nhello\r\n" + LAST,
+    CHUNKED + b"+5\r\nhello\r\n" + LAST,
+    CHUNKED + b"1_0\r\nhello\r\n" + LAST,
+    CHUNKED + b"\r\nhello\r\n" + LAST,
+    CHUNKED + b"5\r\nhelloXX" + LAST,
+    CHUNKED + b"5\r\nhello\r\n-1\r\n" + LAST,
+]
+
+
+def world(context, *args, **settings):
+    context.world = World(*args, **settings)
+    return context.world, context.world.targets[0]
+
+
+@then("each of {count:d} faulty requests gets 400 and reaches no target")
+def step_faults(context, count):
+    node, _ = world(context)
+    assert len(FAULTS) == count
+    for fault in FAULTS:
+        # A sound request after the fault must not be served either.
+        answer = node.caller(fault + GET + b"\r\n").rest()
+        assert answer.startswith(b"HTTP/1.1 400 "), (fault[:200], answer)
+        assert answer.count(b"HTTP/1.1 ") == 1, (fault[:200], answer)
+        assert b"Connection: close" in answer
+    time.sleep(0.02)
+    assert node.received() == b"", node.received()
+
+
+@then("a target that got part of the body sees no last chunk")
+def step_late_fault(context):
+    node, target = world(context)
+    piece = b"3e8\r\n" + b"a" * 1000 + b"\r\n"
+    caller = node.caller(CHUNKED + piece * 300)
+    wait_until(lambda: len(target.raw) > 150_000)
+    caller.send(b"-1\r\n")
+    status, _, body = caller.answer()
+    assert (status, json.loads(body)["run_state"]) == (400, "unknown"), body
+    wait_until(lambda: target.lost == 1)
+    assert not target.raw.endswith(LAST)
+
+
+@then("{count:d} requests sent at once get their answers in order")
+def step_pipeline(context, count):
+    node, target = world(context)
+    target.script = [ok(b"%02d" % n) for n in range(count)]
+    caller = node.caller((GET + b"\r\n") * count)
+    bodies = [caller.answer()[2] for _ in range(count)]
+    assert bodies == [b"%02d" % n for n in range(count)], bodies
+
+
+@then("a refused body that looks like a request is dropped")
+def step_refused_body(context):
+    node, _ = world(context)
+    body = GET + b"\r\n"
+    head = POST.replace(KEY, b"") + b"Content-Length: %d\r\n\r\n" % len(body)
+    caller = node.caller(head)
+    assert caller.answer()[0] == 401
+    caller.send(body + GET + b"Connection: close\r\n\r\n")
+    assert caller.rest().count(b"HTTP/1.1 200") == 1
+
+
+@then("100 Continue is sent with a key, and 401 without")
+def step_expect(context):
+    node, target = world(context)
+    head = POST + b"Expect: 100-continue\r\nContent-Length: 3\r\n\r\n"
+    caller = node.caller(head)
+    assert caller.head()[0] == 100
+    assert not target.heads
+    assert caller.status(b"abc") == 200
+    assert target.bodies == [b"abc"]
+    assert b"expect" not in target.heads[0].lower()
+    answer = node.caller(head.replace(KEY, b"")).rest()
+    assert answer.startswith(b"HTTP/1.1 401 "), answer
+
+
+@then("a target receives chunked and long bodies unchanged")
+def step_bodies(context):
+    node, target = world(context)
+    for size in (1000, 200_000):
+        body = b"ab" * (size // 2)
+        chunk = b"%x;a=b\r\n" % (size // 2) + body[: size // 2] + b"\r\n"
+        chunks = chunk + chunk + b"0\r\nTrailer-A: 1\r\n\r\n"
+        length = b"Content-Length: %d\r\n\r\n" % size
+        for data in (CHUNKED + chunks, POST + length + body):
+            assert node.caller().status(data) == 200
+            received = target.bodies[-1]
+            if b"chunked" in target.heads[-1]:
+                received = decode_chunks(received)
+            assert received == body, (size, len(received))
+
+
+def decode_chunks(body):
+    decoded = b""
+    while body != LAST:
+        length, body = body.split(b"\r\n", 1)
+        end = int(length, 16)
+        decoded, body = decoded + body[:end], body[end + 2 :]
+    return decoded
+
+
+@then("a chunked answer reaches it unchunked, and the connection ends")
+def step_http_10(context):
+    node, target = world(context)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    target.script = [head + b"2\r\nok\r\n" + LAST]
+    caller = node.caller(GET.replace(b"HTTP/1.1", b"HTTP/1.0") + b"\r\n")
+    assert caller.rest().endswith(b"\r\n\r\nok")
+
+
+@then("the answers to HEAD, 204 and 304 leave the connection in order")
+def step_without_body(context):
+    node, target = world(context)
+    target.script = [OK[:-2], b"HTTP/1.1 204 No Content\r\n\r\n"]
+    target.script += [b"HTTP/1.1 304 Not Modified\r\nContent-Length: 9\r\n\r\n"]
+    caller = node.caller(GET.replace(b"GET", b"HEAD") + b"\r\n")
+    status, fields = caller.head()
+    assert (status, fields["content-length"]) == (200, "2")
+    for expected in (204, 304):
+        caller.send(GET + b"\r\n")
+        status, fields = caller.head()
+        assert status == expected and "transfer-encoding" not in fields
+    assert caller.status(GET + b"\r\n") == 200
+    assert len(target.sockets) == 1
+
+
+@then("both are closed, the slow head with 400")
+def step_slow(context):
+    node, _ = world(context, idle_s=0.1, head_s=0.2)
+    assert node.caller().rest() == b""
+    caller = node.caller(GET + b"X-A: ")
+    for _ in range(5):
+        time.sleep(0.05)
+        caller.send(b"a")
+    assert caller.rest().startswith(b"HTTP/1.1 400 ")
+
+
+@then("the second of two connections gets 503 and the first works")
+def step_limit(context):
+    node, _ = world(context, max_connections=1)
+    first = node.caller()
+    wait_until(lambda: node.server.connection_count == 1)
+    assert node.caller(GET).rest().startswith(b"HTTP/1.1 503 ")
+    assert first.status(GET + b"\r\n") == 200
+
+
+SIZE = 64_000_000
+PIECE = b"a" * 100_000
+
+
+def send_counted(send, count):
+    for _ in range(SIZE // len(PIECE)):
+        send(PIECE)
+        count.append(1)
+
+
+def check_held_back(count):
+    seen, still = -1, 0
+    while still < 5:
+        time.sleep(0.05)
+        still = still + 1 if len(count) == seen else 0
+        seen = len(count)
+    assert 0 < seen * len(PIECE) < 16_000_000, seen
+
+
+@then("an upload of 64 MB is held back below 16 MB, and then arrives")
+def step_upload(context):
+    node, target = world(context)
+    released = threading.Event()
+
+    def read_late(connection):
+        released.wait(10)
+        while len(target.raw) < SIZE:
+            target.receive(connection)
+        connection.sendall(OK)
+
+    target.script = [read_late]
+    caller = node.caller(POST + b"Content-Length: %d\r\n\r\n" % SIZE)
+    count = []
+    upload = threading.Thread(
+        target=send_counted, args=(caller.send, count), daemon=True
+    )
+    upload.start()
+    check_held_back(count)
+    released.set()
+    assert caller.answer()[0] == 200
+    upload.join(5)
+
+
+@then("a download of 64 MB is held back below 16 MB, and then arrives")
+def step_download(context):
+    node, target = world(context)
+    count = []
+
+    def send_all(connection):
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % SIZE
+        connection.sendall(head)
+        send_counted(connection.sendall, count)
+
+    target.script = [send_all]
+    caller = node.caller(GET + b"\r\n")
+    check_held_back(count)
+    assert len(caller.answer()[2]) == SIZE
+
+
+@then("the request is answered, asks to close, and the port is closed")
+def step_drain(context):
+    node, target = world(context)
+    released = threading.Event()
+    target.script = [lambda c: released.wait(5) and c.sendall(OK)]
+    caller = node.caller(GET + b"\r\n")
+    wait_until(lambda: target.heads)
+    in_reactor(node.server.drain)
+    released.set()
+    status, fields, body = caller.answer()
+    assert (status, fields["connection"], body) == (200, "close", b"ok")
+    assert caller.rest() == b""
+    with socket.socket() as probe:
+        assert probe.connect_ex(("127.0.0.1", node.port)) != 0
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -1,16 +1,44 @@
-"""Virtual time and a lossy message queue for tests of coordination parts."""
+"""Virtual time, a lossy network and virtual targets for tests."""
 
+from egretrock_standins.virtual._fleet import (
+    PlatformView,
+    VirtualFleet,
+    VirtualProcess,
+)
 from egretrock_standins.virtual._fleet_view import (
     FleetStandIn,
     Published,
     VirtualPlatform,
 )
+from egretrock_standins.virtual._history import (
+    FleetHistory,
+    config_json,
+    node,
+    vms_json,
+)
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
+from egretrock_standins.virtual._targets import (
+    VirtualCall,
+    VirtualNode,
+    VirtualTarget,
+    VirtualWorld,
+)
 
 __all__ = [
     "Faults",
+    "FleetHistory",
     "FleetStandIn",
+    "PlatformView",
     "Published",
+    "VirtualCall",
+    "VirtualFleet",
     "VirtualNetwork",
+    "VirtualNode",
     "VirtualPlatform",
+    "VirtualProcess",
+    "VirtualTarget",
+    "VirtualWorld",
+    "config_json",
+    "node",
+    "vms_json",
 ]
