--- a/packages/egretrock-core/src/egretrock/state/config/_check.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_check.py
@@ -112,6 +112,10 @@
 
 
 def _reference_findings(config: PublishedConfig) -> Iterator[Finding]:
+    for name, profile in config.profiles.items():
+        if profile.hedge.enabled:
+            message = "hedging is not available yet; allowed is false"
+            yield Finding(f"profiles.{name}.hedge.enabled", message)
     for service_id, service in config.services.items():
         yield from _service_findings(config, f"services.{service_id}", service)
     for route_id, route in config.routes.items():
--- a/packages/egretrock-core/src/egretrock/state/config/_model.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_model.py
@@ -132,7 +132,11 @@
 
 
 class HedgeProfile(_Published, frozen=True):
-    """Hedging: a second try before the first has failed."""
+    """Hedging: a second try before the first has failed.
+
+    Attributes:
+        enabled: Only false is accepted, since nodes do not hedge yet.
+    """
 
     enabled: bool = False
 
--- a/packages/egretrock-core/src/egretrock/state/config/tests/check.feature
+++ b/packages/egretrock-core/src/egretrock/state/config/tests/check.feature
@@ -24,6 +24,13 @@
     And there is a finding at routes.all.service
     And the configuration is refused
 
+  Scenario: A profile asks for hedging and no node hedges
+    Given a valid configuration
+    And the value profiles.records.hedge is {"enabled": true}
+    When it is checked
+    Then there is a finding at profiles.records.hedge.enabled
+    And the configuration is refused
+
   Scenario: A misspelt field is taken for its default
     Given a valid configuration
     And the value routes.all.idempotant is true
--- a/packages/egretrock-core/src/egretrock/state/outcome/_explain.py
+++ b/packages/egretrock-core/src/egretrock/state/outcome/_explain.py
@@ -27,7 +27,7 @@
         "Correct the caller's HTTP library or the intermediary before it.",
     ),
     RefusalCode.HEADERS_TOO_LARGE: Explanation(
-        431,
+        400,
         "The request line and headers exceed limits.max_header_bytes.",
         "Send smaller headers, or raise the setting.",
     ),
