Confirm nothing by peers while an alive peer has a newer revision

Cause: a node that hears of a newer revision but cannot fetch it (the datagrams arrive, the document does not) was kept fresh by the answers of the others, so a withdrawn key went on working there.

Change: answers do not confirm a document of which an alive peer has a newer revision. What a peer reported that is no longer alive does not count, since that revision may be lost.

--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_fleet.py
@@ -476,7 +476,11 @@
     ) -> None:
         if state.answered_s is None or state.answered_s < sent_s:
             state.answered_s = sent_s
-        seen = {name: store.seen for name, store in self._stores.items()}
+        seen = {
+            name: store.seen
+            for name, store in self._stores.items()
+            if not self._is_behind(name, now_s)
+        }
         node = state.peer.node
         self._freshness.confirm_by_peer(node, body, seen, sent_s)
         # A voter with a later VM list may have stopped counting a list
@@ -487,6 +491,18 @@
             votes = parse_partitions(body.votes)
             self._holder.add_votes(node, votes, sent_s, now_s)
 
+    def _is_behind(self, document: DocumentName, now_s: float) -> bool:
+        """Returns whether an alive peer has a revision that this node lacks.
+
+        If the document could not be fetched from that peer, the answers of
+        the others would keep a withdrawn key working. What a peer that is no
+        longer alive reported may be lost, and must not stop the fleet.
+        """
+        known = self._stores[document].seen
+        nodes, alive_s = self._lists.nodes(), self.settings.alive_s
+        alive = self._peers.alive(nodes, now_s, alive_s)
+        return any(_seen(peer, document) > known for peer in alive)
+
     def _reconsider(self, now_s: float) -> None:
         """Derives what changes with each event: bootstrap and freshness."""
         vm_list, accepted_s = self._vms.value, self._vms.accepted_s
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/_freshness.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/_freshness.py
@@ -43,7 +43,8 @@
         Args:
             node: The peer.
             body: Its answer.
-            seen: Revisions that this node knows.
+            seen: Revisions that this node knows, of the documents that may
+                be confirmed.
             sent_s: When the question was sent.
         """
         if not body.has(NodeFlag.ESTABLISHED):
@@ -53,8 +54,8 @@
             DocumentName.CONFIG: body.config_seen,
             DocumentName.VMS: vms_seen,
         }
-        for name, revision in reported.items():
-            if revision <= seen[name]:
+        for name, known in seen.items():
+            if reported[name] <= known:
                 agreed_s = self._agreed_s[name]
                 agreed_s[node] = max(agreed_s.get(node, NEVER_S), sent_s)
 
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/scripts.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/scripts.feature
@@ -17,4 +17,5 @@
       | forgotten_revision | NewProcessCountsItself     |
       | cut_off_majority   | ChangeEndsByTimeAlone      |
       | forgotten_revision | NewProcessCountsAtOnce     |
+      | unfetched_revision | ConfirmsWhileBehind        |
       | platform_outage    | NoConfirmationByPeers      |
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_mutants.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_mutants.py
@@ -110,3 +110,8 @@
 class PlatformOverrulesPeers(Fleet):
     def _confirm_by_platform(self, document, offer, sent_s):
         self._freshness.confirm_by_platform(document, sent_s)
+
+
+ConfirmsWhileBehind = type(
+    "Mutant", (Fleet,), {"_is_behind": lambda self, document, now_s: False}
+)
--- a/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_scripts.py
+++ b/packages/egretrock-core/src/egretrock/coordination/fleet/tests/steps/fleet_scripts.py
@@ -180,3 +180,24 @@
     script.live(8.3, (1, 2))
     script.live(24.0, (1, 2), start_s=9.4)
     return None if fresh(script, 24.0) else "an outage ends freshness"
+
+
+def unfetched_revision(fleet_type):
+    """One of four peers has a revision that cannot be fetched from it."""
+    script = Script(fleet_type, 5)
+    script.live(8.3, (1, 2, 3, 4))
+    for now_s in (9.4, 10.6, 11.8, 13.0, 14.2):
+        sent = script.tick(now_s)
+        for peer in (1, 2, 3, 4):
+            script.hear(
+                peer,
+                now_s + 0.1,
+                sent[node(peer)].question,
+                config_seen=2 if peer == 1 else 1,
+            )
+    if fresh(script, 14.5):
+        return "answers confirmed at 14.2 s, a revision is known from 9.5 s"
+    script.live(18.0, (2, 3, 4), start_s=15.4)
+    if not fresh(script, 18.5):
+        return "the claim of a peer that is gone stops the node"
+    return None
