--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -6,6 +6,7 @@
 
 from expression import Ok
 
+from egretrock.coordination.idempotency import BeginOutcome, BeginResult
 from egretrock.coordination.retries import RetryDecision
 from egretrock.coordination.targets import Assignment, Permit
 from egretrock.state.config import (
@@ -25,8 +26,6 @@
     digest_key,
 )
 from egretrock_node.protocol.requests import (
-    BeginOutcome,
-    BeginResult,
     Environment,
     Parts,
     PipelineSettings,
@@ -119,6 +118,7 @@
         self.seen = set()
         self.results = []
         self.outcome = None
+        self.held = False
         self.complete = Mock(return_value=[])
 
     def begin(self, key, attempt, now_s):
@@ -130,6 +130,8 @@
         return []
 
     def poll(self, now_s):
+        if self.held:
+            return []
         results, self.results = self.results, []
         return results
 
