Tell when the machine was too busy for a bench run

Cause: the first full run of make bench shared the machine with other work. The control cost is shown under load too, and outcomes by organisation are kept. The bench is to be run again on a quiet machine.

--- a/packages/egretrock-standins/src/egretrock_standins/bench/__main__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/bench/__main__.py
@@ -43,7 +43,17 @@
         collected.append(result)
     for file in write_results(collected, results):
         print(f"written: {file}")
-    return 0
+    # Generators that are late mean that the machine was too busy, which
+    # changes the policies' figures in different ways.
+    late = [
+        f"{result.name}, policy {variant.policy.value}"
+        for result in collected
+        for variant in result.variants
+        if variant.late_p99_ms > values.max_late_ms
+    ]
+    for name in late:
+        print(f"NOT VALID, the machine was too busy: {name}")
+    return 1 if late else 0
 
 
 if __name__ == "__main__":
--- a/packages/egretrock-standins/src/egretrock_standins/bench/_measure.py
+++ b/packages/egretrock-standins/src/egretrock_standins/bench/_measure.py
@@ -1,6 +1,7 @@
 """Runs one deployment under one policy."""
 
 import dataclasses
+import os
 import statistics
 import time
 
@@ -45,6 +46,8 @@
         probes_per_s: Health and load reads at all targets, under load.
         messages_per_s: Control messages sent by a node, without requests.
         bytes_per_s: Their payload; None where no counter tells it.
+        loaded_messages_per_s: The same under load.
+        loaded_bytes_per_s: The same under load.
         idle_cpu: Median processor time of a node without requests, as a
             share of a core.
         loaded_cpu: The same under load, requests included.
@@ -54,6 +57,8 @@
     probes_per_s: float
     messages_per_s: float | None
     bytes_per_s: float | None
+    loaded_messages_per_s: float | None
+    loaded_bytes_per_s: float | None
     idle_cpu: float
     loaded_cpu: float
     memory_mb: float
@@ -111,17 +116,29 @@
 
 
 class VariantResult(msgspec.Struct):
-    """The five metrics of one deployment under one policy."""
+    """The five metrics of one deployment under one policy.
+
+    Attributes:
+        policy: Policy of the profile.
+        offered_per_s: Offered requests per second.
+        late_p99_ms: How late the generators sent; a large value means that
+            the machine was too busy for the run.
+        machine_load: Processes that wanted a core at the end, on average
+            over a minute; the bench itself needs about 4.
+        outcomes: Organisation to the count by outcome under steady load.
+    """
 
     policy: BalancingPolicy
     offered_per_s: float
     late_p99_ms: float
+    machine_load: float
     tail: TailLatency
     control: ControlCost
     change: DataCentreChange
     worst: WorstServed
     refusals: Refusals
     percentiles_ms: dict[str, float]
+    outcomes: dict[str, dict[str, int]]
 
 
 @dataclasses.dataclass
@@ -160,6 +177,14 @@
             bytes=total(BYTES_COUNTER),
         )
 
+    def per_node_s(self, field: str, earlier: "_Usage") -> float | None:
+        """Returns the growth of a total per node and second."""
+        first, last = getattr(earlier, field), getattr(self, field)
+        if first is None or last is None:
+            return None
+        seconds = self.at_s - earlier.at_s
+        return (last - first) / len(self.cpu_s) / seconds
+
     def cpu_since(self, earlier: "_Usage") -> float:
         """Returns the median share of a core that a node used."""
         pairs = zip(self.cpu_s, earlier.cpu_s, strict=True)
@@ -188,12 +213,10 @@
     control = ControlCost(
         probes_per_s=(steady_end.probes - idle_end.probes)
         / (steady_end.at_s - idle_end.at_s),
-        messages_per_s=_per_node_s(
-            idle_start, idle_end, "messages", len(fleet.nodes)
-        ),
-        bytes_per_s=_per_node_s(
-            idle_start, idle_end, "bytes", len(fleet.nodes)
-        ),
+        messages_per_s=idle_end.per_node_s("messages", idle_start),
+        bytes_per_s=idle_end.per_node_s("bytes", idle_start),
+        loaded_messages_per_s=steady_end.per_node_s("messages", idle_end),
+        loaded_bytes_per_s=steady_end.per_node_s("bytes", idle_end),
         idle_cpu=idle_end.cpu_since(idle_start),
         loaded_cpu=steady_end.cpu_since(idle_end),
         memory_mb=memory / 1e6,
@@ -203,6 +226,7 @@
         policy=policy,
         offered_per_s=parameters.offered_per_s(deployment),
         late_p99_ms=steady.late_us / 1000,
+        machine_load=os.getloadavg()[0],
         tail=TailLatency(
             *(
                 histogram.get_value_at_percentile(level) / 1000
@@ -217,18 +241,10 @@
             str(level): histogram.get_value_at_percentile(level) / 1000
             for level in levels
         },
+        outcomes={n: c.outcomes for n, c in steady.callers.items()},
     )
 
 
-def _per_node_s(
-    start: _Usage, end: _Usage, field: str, nodes: int
-) -> float | None:
-    first, last = getattr(start, field), getattr(end, field)
-    if first is None or last is None:
-        return None
-    return (last - first) / nodes / (end.at_s - start.at_s)
-
-
 def _specs(
     parameters: Parameters,
     deployment: Deployment,
--- a/packages/egretrock-standins/src/egretrock_standins/bench/_parameters.py
+++ b/packages/egretrock-standins/src/egretrock_standins/bench/_parameters.py
@@ -68,6 +68,7 @@
     after_return_s: float
     generators: int
     timeout_s: float
+    max_late_ms: float
     policies: list[BalancingPolicy]
     target_load: float
     offered_of_rate: float
--- a/packages/egretrock-standins/src/egretrock_standins/bench/_report.py
+++ b/packages/egretrock-standins/src/egretrock_standins/bench/_report.py
@@ -36,8 +36,10 @@
         "tail latency p99 ms": result.tail.p99_ms,
         "tail latency p99.9 ms": result.tail.p99_9_ms,
         "probes/s, fleet": control.probes_per_s,
-        "control messages/s per node": control.messages_per_s,
-        "control bytes/s per node": control.bytes_per_s,
+        "control messages/s per node, idle": control.messages_per_s,
+        "control bytes/s per node, idle": control.bytes_per_s,
+        "control messages/s per node, load": control.loaded_messages_per_s,
+        "control bytes/s per node, load": control.loaded_bytes_per_s,
         "idle CPU of a node, % of a core": 100 * control.idle_cpu,
         "loaded CPU of a node, % of a core": 100 * control.loaded_cpu,
         "memory of a node, MB": control.memory_mb,
@@ -74,9 +76,11 @@
     for variant in result.variants:
         outcomes = sorted(variant.refusals.outcomes.items())
         text = ", ".join(f"{name} {count}" for name, count in outcomes)
-        late_ms = variant.late_p99_ms
         print(f"  {variant.policy.value}: {text}")
-        print(f"    the generators sent p99 {late_ms:.1f} ms late")
+        print(
+            f"    the generators sent p99 {variant.late_p99_ms:.1f} ms late;"
+            f" machine load {variant.machine_load:.1f}"
+        )
 
 
 def write_results(
