--- a/packages/egretrock-node/src/egretrock_node/settings/_model.py
+++ b/packages/egretrock-node/src/egretrock_node/settings/_model.py
@@ -9,8 +9,9 @@
 
 PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
-#: Below three heartbeats a single lost datagram would make a node refuse.
-FreshnessSeconds = Annotated[float, msgspec.Meta(ge=3, le=60)]
+#: The longest lease of a share, 1.9 s at a planned stop, must end within half
+#: of this, before a larger share is used elsewhere.
+FreshnessSeconds = Annotated[float, msgspec.Meta(ge=4, le=60)]
 AdapterName = Annotated[
     str, msgspec.Meta(pattern=r"^[A-Za-z_][\w.]*:[A-Za-z_]\w*$")
 ]
