Give the tasks that own sockets one base class

Cause: four tasks and the node repeated the same context manager.

Change: Service opens on entry and closes on exit. Behaviour is as before.

--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -60,6 +60,7 @@
 )
 from egretrock_node.protocol.status import NodeStatus
 from egretrock_node.settings import Settings
+from egretrock_node.transport._service import Service
 from egretrock_node.transport.caller import CallerServer, CallerServerSettings
 from egretrock_node.transport.clock import boot_time_s
 from egretrock_node.transport.operator import OperatorEndpoint
@@ -122,7 +123,7 @@
         raise ImportError(message) from error
 
 
-class Node:
+class Node(Service):
     """One node. ``start`` opens its sockets; ``on_end`` is told of its end.
 
     Args:
@@ -308,15 +309,6 @@
         ]
         return defer.DeferredList(closed, consumeErrors=True)
 
-    def __enter__(self) -> "Node":
-        """Starts the node."""
-        self.start()
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        """Closes the node."""
-        self.close()
-
     # Messages.
 
     def send(self, messages: list[Outbound]) -> None:
--- a/packages/egretrock-node/src/egretrock_node/transport/operator/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/operator/_endpoint.py
@@ -1,6 +1,5 @@
 """HTTP endpoint for operators, on an address of its own."""
 
-from types import TracebackType
 from typing import Any
 
 import msgspec
@@ -8,6 +7,7 @@
 from twisted.web import resource, server
 
 from egretrock_node.protocol.status import StatusSource
+from egretrock_node.transport._service import Service
 
 _JSON = b"application/json"
 _TEXT = b"text/plain; charset=utf-8"
@@ -77,7 +77,7 @@
         return _answer(request, 202, _JSON, b'{"draining": true}\n')
 
 
-class OperatorEndpoint:
+class OperatorEndpoint(Service):
     """Listens on the operator address; closing it stops listening.
 
     Args:
@@ -121,20 +121,6 @@
             return defer.succeed(None)
         return defer.maybeDeferred(port.stopListening)
 
-    def __enter__(self) -> "OperatorEndpoint":
-        """Starts to listen."""
-        self.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Stops listening."""
-        self.close()
-
 
 def _root(source: StatusSource) -> resource.Resource:
     root = resource.Resource()
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/_documents.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_documents.py
@@ -2,7 +2,6 @@
 
 import hashlib
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 import logbook
@@ -17,6 +16,7 @@
     HttpFetcher,
     HttpFetchError,
 )
+from egretrock_node.transport._service import Service
 
 _log = logbook.Logger("egretrock.documents")
 _FETCH_TIMEOUT_S = 3.0
@@ -45,7 +45,7 @@
         return document.value
 
 
-class DocumentExchange:
+class DocumentExchange(Service):
     """Serves this node's documents and fetches newer ones from peers.
 
     Args:
@@ -100,20 +100,6 @@
             closed.append(defer.maybeDeferred(port.stopListening))
         return defer.DeferredList(closed, consumeErrors=True)
 
-    def __enter__(self) -> "DocumentExchange":
-        """Starts to serve documents."""
-        self.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Stops serving."""
-        self.close()
-
     def on_tick(self, now_s: float) -> None:
         """Fetches a wanted document; at most one fetch runs at a time."""
         del now_s
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
@@ -4,7 +4,6 @@
 import functools
 import ipaddress
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any
 
 import logbook
@@ -19,6 +18,7 @@
     OversizeError,
     UnknownVersionError,
 )
+from egretrock_node.transport._service import Service
 
 _log = logbook.Logger("egretrock.peers")
 #: One log line per peer in this time, so that a fleet that is being upgraded
@@ -29,7 +29,7 @@
 MessageHandler = Callable[[Peer, Message, float], list[Outbound]]
 
 
-class PeerEndpoint(DatagramProtocol):
+class PeerEndpoint(DatagramProtocol, Service):
     """Sends and receives messages; closing it closes the socket.
 
     Messages for one peer that are sent in the same turn of the reactor
@@ -83,20 +83,6 @@
             return defer.succeed(None)
         return defer.maybeDeferred(port.stopListening)
 
-    def __enter__(self) -> "PeerEndpoint":
-        """Opens the socket."""
-        self.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Closes the socket."""
-        self.close()
-
     def send(self, messages: list[Outbound]) -> None:
         """Sends messages at the end of this turn of the reactor."""
         for message in messages:
--- a/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable
-from types import TracebackType
 from typing import Any, Protocol
 
 import logbook
@@ -17,6 +16,7 @@
     HttpFetcher,
     HttpFetchError,
 )
+from egretrock_node.transport._service import Service
 
 _log = logbook.Logger("egretrock.platform")
 
@@ -66,7 +66,7 @@
 _MIN_INTERVAL_S = 0.2
 
 
-class PlatformReader:
+class PlatformReader(Service):
     """Watches both documents and hands each read to the sink.
 
     Args:
@@ -114,20 +114,6 @@
                 call.cancel()
         return self._fetcher.close()
 
-    def __enter__(self) -> "PlatformReader":
-        """Starts the watches."""
-        self.start()
-        return self
-
-    def __exit__(
-        self,
-        exc_type: type[BaseException] | None,
-        exc: BaseException | None,
-        traceback: TracebackType | None,
-    ) -> None:
-        """Ends the watches."""
-        self.close()
-
     def _plan(self, name: DocumentName, delay_s: float) -> None:
         if not self._is_closed:
             call = self._reactor.callLater(delay_s, self._watch, name)
