--- a/packages/egretrock-core/src/egretrock/coordination/idempotency/_handover.py
+++ b/packages/egretrock-core/src/egretrock/coordination/idempotency/_handover.py
@@ -28,7 +28,7 @@
 from egretrock.state.ids import NodeId
 
 
-class _Gift:
+class _Transfer:
     """Records on their way to one successor."""
 
     def __init__(
@@ -65,27 +65,31 @@
         self._fleet = fleet
         self._settings = settings
         self._end_s = now_s + settings.handover_s
-        self._gifts: dict[NodeId, _Gift] = {}
+        self._transfers: dict[NodeId, _Transfer] = {}
         size = settings.chunk_count
         for number, node in enumerate(sorted(by_successor), start=1):
             partitions = by_successor[node]
             mine = [r for r in records if partition_of_key(r[0]) in partitions]
             chunks = [mine[i : i + size] for i in range(0, len(mine), size)]
-            self._gifts[node] = _Gift(number, partitions, chunks or [[]])
+            self._transfers[node] = _Transfer(
+                number, partitions, chunks or [[]]
+            )
 
     def is_done(self, now_s: float) -> bool:
         """Whether all is noted, or the time is over."""
-        noted = all(gift.is_noted() for gift in self._gifts.values())
+        noted = all(
+            transfer.is_noted() for transfer in self._transfers.values()
+        )
         return noted or now_s >= self._end_s
 
     def offers(self, now_s: float) -> list[Outbound]:
         """Returns the offers that are due."""
         messages = []
-        for node, gift in self._gifts.items():
-            due_s = gift.offered_s + self._settings.resend_s
-            if gift.taker is None and now_s >= due_s:
-                gift.offered_s = now_s
-                offer = Offer(gift.number, len(gift.chunks))
+        for node, transfer in self._transfers.items():
+            due_s = transfer.offered_s + self._settings.resend_s
+            if transfer.taker is None and now_s >= due_s:
+                transfer.offered_s = now_s
+                offer = Offer(transfer.number, len(transfer.chunks))
                 messages.append(Outbound(node, offer))
         return messages
 
@@ -94,52 +98,54 @@
         if self.is_done(now_s):
             return []
         messages = self.offers(now_s)
-        for node, gift in self._gifts.items():
-            messages += self._parts(node, gift, now_s)
+        for node, transfer in self._transfers.items():
+            messages += self._parts(node, transfer, now_s)
         return messages
 
     def on_ready(
         self, sender: Peer, body: Ready, now_s: float
     ) -> list[Outbound]:
         """Starts to send; a taker that restarted gets all again."""
-        gift = self._gifts.get(sender.node)
-        if gift is None or gift.number != body.number:
+        transfer = self._transfers.get(sender.node)
+        if transfer is None or transfer.number != body.number:
             return []
-        if gift.taker != sender:
-            gift.taker = sender
-            gift.noted.clear()
-            gift.sent_s = [-math.inf] * len(gift.chunks)
-            gift.held = {
+        if transfer.taker != sender:
+            transfer.taker = sender
+            transfer.noted.clear()
+            transfer.sent_s = [-math.inf] * len(transfer.chunks)
+            transfer.held = {
                 partition
-                for partition in gift.partitions
+                for partition in transfer.partitions
                 if self._fleet.holds(partition, now_s)
             }
-        return self._parts(sender.node, gift, now_s)
+        return self._parts(sender.node, transfer, now_s)
 
     def on_noted(self, sender: Peer, body: RecordsNoted) -> None:
         """Takes a confirmation."""
-        gift = self._gifts.get(sender.node)
-        if gift is not None and gift.taker == sender:
-            known = gift.number == body.number
-            if known and 0 <= body.chunk < len(gift.chunks):
-                gift.noted.add(body.chunk)
-
-    def _parts(self, node: NodeId, gift: _Gift, now_s: float) -> list[Outbound]:
-        if gift.taker is None:
+        transfer = self._transfers.get(sender.node)
+        if transfer is not None and transfer.taker == sender:
+            known = transfer.number == body.number
+            if known and 0 <= body.chunk < len(transfer.chunks):
+                transfer.noted.add(body.chunk)
+
+    def _parts(
+        self, node: NodeId, transfer: _Transfer, now_s: float
+    ) -> list[Outbound]:
+        if transfer.taker is None:
             return []
         messages = []
-        for chunk, records in enumerate(gift.chunks):
-            due_s = gift.sent_s[chunk] + self._settings.resend_s
-            if chunk in gift.noted or now_s < due_s:
+        for chunk, records in enumerate(transfer.chunks):
+            due_s = transfer.sent_s[chunk] + self._settings.resend_s
+            if chunk in transfer.noted or now_s < due_s:
                 continue
             if len(messages) == self._settings.chunks_per_tick:
                 break
-            gift.sent_s[chunk] = now_s
+            transfer.sent_s[chunk] = now_s
             body = Records(
-                number=gift.number,
-                taker_incarnation=gift.taker.incarnation,
+                number=transfer.number,
+                taker_incarnation=transfer.taker.incarnation,
                 chunk=chunk,
-                partitions=f"{sum(1 << p for p in gift.held):x}",
+                partitions=f"{sum(1 << p for p in transfer.held):x}",
                 entries=[_entry(key, r, now_s) for key, r in records],
             )
             messages.append(Outbound(node, body))
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_demand.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_demand.py
@@ -49,7 +49,7 @@
     expires_s: float
 
 
-class Wallet:
+class TokenStock:
     """Granted tokens of one organisation, by the process that gave them."""
 
     def __init__(self) -> None:
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_limiter.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_limiter.py
@@ -378,7 +378,7 @@
             if state is None or entry.organisation not in wanted:
                 continue
             if entry.extended and expires_s > now_s:
-                state.wallet.add(sender, entry.tokens, expires_s, now_s)
+                state.stock.add(sender, entry.tokens, expires_s, now_s)
             want = wanted[entry.organisation]
             state.on_granted(want, entry.tokens, now_s)
         return []
--- a/packages/egretrock-core/src/egretrock/coordination/limits/_organisation.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/_organisation.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from egretrock.coordination.base import Peer
-from egretrock.coordination.limits._demand import DemandEstimate, Wallet
+from egretrock.coordination.limits._demand import DemandEstimate, TokenStock
 from egretrock.coordination.limits._messages import AskEntry
 from egretrock.coordination.limits._pool import (
     ROUNDING,
@@ -56,7 +56,7 @@
     ) -> None:
         self.organisation = organisation
         self.pool = SharePool(own_from_s, now_s)
-        self.wallet = Wallet()
+        self.stock = TokenStock()
         self.demand = DemandEstimate(settings.demand_s)
         self.size = PoolSize()
         self.loan: Loan | None = None
@@ -84,7 +84,7 @@
 
     def spend(self, now_s: float) -> bool:
         """Takes one token, granted ones first."""
-        if self.wallet.spend(now_s):
+        if self.stock.spend(now_s):
             return True
         return self._may_spend_own(now_s) and self.pool.spend()
 
@@ -156,7 +156,7 @@
             return False
         if self._missed_now(now_s) > 0:
             return True
-        if self.wallet.expiring(now_s + self._settings.extend_s, now_s):
+        if self.stock.expiring(now_s + self._settings.extend_s, now_s):
             return True
         low = self._settings.low_water * self._target(now_s)
         return self._stock(now_s) < low
@@ -165,7 +165,7 @@
         """Returns what to ask for, or None if the stock is full."""
         want = math.ceil(self._target(now_s) - self._stock(now_s) - ROUNDING)
         want = max(0, min(want, math.ceil(self.size.burst)))
-        held = self.wallet.held_from(home, now_s)
+        held = self.stock.held_from(home, now_s)
         if want < 1 and held < 1 - ROUNDING:
             return None
         demand_per_s = round(self.demand.per_s(now_s), 2)
@@ -203,7 +203,7 @@
         return part >= self._settings.stock_tokens
 
     def _stock(self, now_s: float) -> float:
-        return self.wallet.total(now_s) + self.pool.level
+        return self.stock.total(now_s) + self.pool.level
 
     # The home.
 
@@ -387,4 +387,4 @@
         """Whether nothing is lent, leased, granted or held."""
         in_hand = self.pool.own_from_s <= now_s and not self.pool.leases
         idle = self.pool.outstanding(now_s) == 0
-        return in_hand and idle and self.wallet.total(now_s) == 0
+        return in_hand and idle and self.stock.total(now_s) == 0
--- a/packages/egretrock-core/src/egretrock/coordination/limits/tests/steps/bound_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/limits/tests/steps/bound_steps.py
@@ -7,7 +7,7 @@
 from hypothesis import given as given_values
 from hypothesis import strategies as st
 
-from egretrock.coordination.limits._demand import Wallet
+from egretrock.coordination.limits._demand import TokenStock
 from egretrock.coordination.limits._pool import SharePool
 from egretrock_standins.limits_experiment import Chaos, ChaosPlan
 from egretrock_standins.virtual import FleetStandIn
@@ -44,8 +44,8 @@
     return tokens
 
 
-def any_held(wallet, home, now_s):
-    entry = wallet._granted.get(home)
+def any_held(stock, home, now_s):
+    entry = stock._granted.get(home)
     return 0.0 if entry is None else entry.tokens
 
 
@@ -64,7 +64,7 @@
     "one use of a lease message": (SharePool, "accept", accept_again),
     "the end of a loan": (SharePool, "lend_own", take_back_early),
     "stopping on a lent share": (SharePool, "_share_in_hand", own_always),
-    "expiry of granted tokens": (Wallet, "held", any_held),
+    "expiry of granted tokens": (TokenStock, "held", any_held),
     "freshness at admission": (FleetStandIn, "is_fresh", lambda *_: True),
     "late use of larger limits": (FleetStandIn, "_usable", newest_limits_only),
 }
