--- a/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable, Iterable
 from typing import Any
 
+import msgspec
+
 from egretrock.coordination.base import (
     Counters,
     Message,
@@ -133,6 +135,20 @@
         self.limit = limit
 
 
+class _UnreturnedPermit(msgspec.Struct, frozen=True):
+    """A permit whose holder ended; its request may still run.
+
+    Attributes:
+        permit: The permit.
+        holder: Process that held it.
+        until_s: Time from which the request cannot run any more.
+    """
+
+    permit: IssuedPermit
+    holder: Peer
+    until_s: float
+
+
 class _PartialInventory:
     """Parts of an inventory until all have arrived."""
 
@@ -171,8 +187,7 @@
         self._counters = counters
         self._last_sessions: dict[NodeId, tuple[Incarnation, int]] = {}
         self._partial: dict[NodeId, _PartialInventory] = {}
-        self._orphans: list[tuple[float, NodeId, Incarnation, IssuedPermit]]
-        self._orphans = []
+        self._unreturned: list[_UnreturnedPermit] = []
         self._config: PublishedConfig | None = None
         self._profile = Profile()
         self._vms: VmList | None = None
@@ -250,7 +265,7 @@
         """Does what is due."""
         for node in list(self.sessions):
             self._check_silence(node, node in alive, now_s)
-        self._expire_orphans(now_s)
+        self._expire_unreturned(now_s)
         out = self._census(now_s)
         for node, session in self.sessions.items():
             out += self._query(node, session, now_s)
@@ -469,25 +484,29 @@
                         + PERMIT_S * CLOCK_FACTOR
                         + self._deadline_s
                     )
-                self._orphans.append(
-                    (until_s, node, session.incarnation, permit)
-                )
-        kept = []
-        for orphan in self._orphans:
-            if orphan[1:3] == (node, successor):
-                self.ledger.remove(orphan[3])
-            else:
-                kept.append(orphan)
-        self._orphans = kept
+                holder = Peer(node, session.incarnation)
+                unreturned = _UnreturnedPermit(permit, holder, until_s)
+                self._unreturned.append(unreturned)
+        self._remove_unreturned(
+            lambda entry: (
+                (entry.holder.node, entry.holder.incarnation)
+                == (node, successor)
+            )
+        )
+
+    def _expire_unreturned(self, now_s: float) -> None:
+        self._remove_unreturned(lambda entry: entry.until_s <= now_s)
 
-    def _expire_orphans(self, now_s: float) -> None:
+    def _remove_unreturned(
+        self, is_ended: Callable[[_UnreturnedPermit], bool]
+    ) -> None:
         kept = []
-        for orphan in self._orphans:
-            if orphan[0] <= now_s:
-                self.ledger.remove(orphan[3])
+        for entry in self._unreturned:
+            if is_ended(entry):
+                self.ledger.remove(entry.permit)
             else:
-                kept.append(orphan)
-        self._orphans = kept
+                kept.append(entry)
+        self._unreturned = kept
 
     def _check_silence(self, node: NodeId, alive: bool, now_s: float) -> None:
         session = self.sessions[node]
