--- a/packages/egretrock-ctl/src/egretrock_ctl/tests/ctl.feature
+++ b/packages/egretrock-ctl/src/egretrock_ctl/tests/ctl.feature
@@ -35,3 +35,6 @@
     When egretrockctl asks it to drain
     Then the exit code is 0
     And the node is asked to drain once
+
+  Scenario: The operators' page lacks a refusal code or a reason of a retry
+    Then docs/operations.md has a row for each code, with its status, and each reason
--- a/packages/egretrock-ctl/src/egretrock_ctl/tests/steps/ctl_steps.py
+++ b/packages/egretrock-ctl/src/egretrock_ctl/tests/steps/ctl_steps.py
@@ -9,6 +9,7 @@
 from twisted.internet import reactor
 
 from egretrock.state.config import check_config
+from egretrock.state.outcome import RefusalCode, RetryReason, explain
 from egretrock_node.protocol.status import DocumentStatus, NodeStatus
 from egretrock_node.transport.operator import OperatorEndpoint
 
@@ -139,3 +140,16 @@
 @then("the node is asked to drain once")
 def step_drained(context):
     assert context.node.drains == 1
+
+
+@then(
+    "docs/operations.md has a row for each code, with its status,"
+    " and each reason"
+)
+def step_operations_page(context):
+    page = pathlib.Path("docs/operations.md").read_text()
+    for code in RefusalCode:
+        row = f"| `{code.value}` | {explain(code).status} |"
+        assert row in page, row
+    for reason in RetryReason:
+        assert f"| `{reason.value}` |" in page, reason
