Split addresses in one place, drop an unused method

Cause: six places split 'ip:port' by hand, each with the brackets of IPv6; Codec.check_size had no caller.

Change: split_address stands beside is_address and is called by the sockets and the metrics. Behaviour is as before.

--- a/packages/egretrock-core/src/egretrock/state/config/__init__.py
+++ b/packages/egretrock-core/src/egretrock/state/config/__init__.py
@@ -13,6 +13,7 @@
     check_config,
     check_vm_list,
     is_address,
+    split_address,
 )
 from egretrock.state.config._model import (
     Access,
@@ -55,4 +56,5 @@
     "check_config",
     "check_vm_list",
     "is_address",
+    "split_address",
 ]
--- a/packages/egretrock-core/src/egretrock/state/config/_check.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_check.py
@@ -78,6 +78,17 @@
     return VmListReport(None if findings else vm_list, findings)
 
 
+def split_address(text: str) -> tuple[str, int]:
+    """Returns the IP number and the port of a valid address.
+
+    Example:
+        >>> split_address("[::1]:80")
+        ('::1', 80)
+    """
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
 def is_address(text: str) -> bool:
     """Returns whether ``text`` is an IP number and a port.
 
--- a/packages/egretrock-node/src/egretrock_node/observability/_metrics.py
+++ b/packages/egretrock-node/src/egretrock_node/observability/_metrics.py
@@ -5,6 +5,8 @@
 
 import statsd
 
+from egretrock.state.config import split_address
+
 #: Payload that fits a datagram on an Ethernet link without fragments.
 _MAX_DATAGRAM_BYTES = 1400
 
@@ -57,11 +59,11 @@
 
 
 def _client(address: str, prefix: str) -> statsd.StatsClient:
-    host, _, port = address.rpartition(":")
+    host, port = split_address(address)
     return statsd.StatsClient(
-        host.strip("[]"),
-        int(port),
+        host,
+        port,
         prefix=prefix,
         maxudpsize=_MAX_DATAGRAM_BYTES,
-        ipv6=host.startswith("["),
+        ipv6=":" in host,
     )
--- a/packages/egretrock-node/src/egretrock_node/protocol/peers/_codec.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/peers/_codec.py
@@ -100,12 +100,6 @@
         )
         self._head = head[:-1] + b',"msgs":['
 
-    def check_size(self, body: Message) -> None:
-        """Raises OversizeError if a message needs more than a datagram."""
-        size_bytes = len(self._head) + len(self._encoder.encode(body)) + 2
-        if size_bytes > MAX_DATAGRAM_BYTES:
-            raise OversizeError(body, size_bytes)
-
     def encode(self, bodies: Iterable[Message]) -> Iterator[bytes]:
         """Yields datagrams that hold the messages in order.
 
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -9,6 +9,7 @@
 from twisted.python.failure import Failure
 
 from egretrock.coordination.base import Counters
+from egretrock.state.config import split_address
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 from egretrock_node.protocol.http import bad_request, refusal_answer
 from egretrock_node.protocol.requests import RequestPipeline
@@ -125,9 +126,9 @@
             address: ``"ip:port"``; port 0 takes any free port.
             backlog: Connections that may wait to be accepted.
         """
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         self._port = self._reactor.listenTCP(
-            int(port), self, backlog=backlog, interface=host.strip("[]")
+            port, self, backlog=backlog, interface=host
         )
         return self._port
 
--- a/packages/egretrock-node/src/egretrock_node/transport/operator/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/operator/_endpoint.py
@@ -6,6 +6,7 @@
 from twisted.internet import defer, interfaces
 from twisted.web import resource, server
 
+from egretrock.state.config import split_address
 from egretrock_node.protocol.status import StatusSource
 from egretrock_node.transport._service import Service
 
@@ -103,10 +104,8 @@
         Raises:
             twisted.internet.error.CannotListenError: If the address is taken.
         """
-        host, _, port = self._address.rpartition(":")
-        self._port = self._reactor.listenTCP(
-            int(port), self._site, interface=host.strip("[]")
-        )
+        host, port = split_address(self._address)
+        self._port = self._reactor.listenTCP(port, self._site, interface=host)
 
     def port_number(self) -> int:
         """Returns the port; it differs from the address where that has 0."""
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/_documents.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_documents.py
@@ -10,6 +10,7 @@
 
 from egretrock.coordination.base import Counters, Outbound
 from egretrock.coordination.fleet import DocumentName, DocumentSource, Fleet
+from egretrock.state.config import split_address
 from egretrock.state.ids import NodeId, Revision
 from egretrock_node.transport._http_fetch import (
     HttpAnswer,
@@ -87,10 +88,8 @@
         site = server.Site(root)
         site.noisy = False
         site.log = lambda request: None
-        host, _, port = self._address.rpartition(":")
-        self._port = self._reactor.listenTCP(
-            int(port), site, interface=host.strip("[]")
-        )
+        host, port = split_address(self._address)
+        self._port = self._reactor.listenTCP(port, site, interface=host)
 
     def close(self) -> defer.Deferred[Any]:
         """Stops serving and closes connections to peers."""
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import DatagramProtocol
 
 from egretrock.coordination.base import Counters, Message, Outbound, Peer
+from egretrock.state.config import split_address
 from egretrock.state.ids import NodeId
 from egretrock_node.protocol.peers import (
     BadDatagramError,
@@ -72,7 +73,7 @@
         Raises:
             twisted.internet.error.CannotListenError: If the address is taken.
         """
-        host, port = _split(self._address)
+        host, port = split_address(self._address)
         self._port = self._reactor.listenUDP(port, self, interface=host)
 
     def close(self) -> defer.Deferred[Any]:
@@ -140,7 +141,7 @@
             self._counters.increment("peers.bytes_sent", len(datagram))
             # Refused or unreachable peers count as loss, as on any network.
             with contextlib.suppress(OSError):
-                self.transport.write(datagram, _split(node))
+                self.transport.write(datagram, split_address(node))
 
     def _log_version(self, addr: Any, error: UnknownVersionError) -> None:
         now_s = self._clock()
@@ -160,12 +161,7 @@
 def _canonical(address: str) -> tuple[str, int] | None:
     """Returns host and port as the socket reports them, None if invalid."""
     try:
-        host, port = _split(address)
+        host, port = split_address(address)
         return str(ipaddress.ip_address(host)), port
     except ValueError:
         return None
-
-
-def _split(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -11,6 +11,7 @@
 from twisted.python.failure import Failure
 
 from egretrock.coordination.base import Counters
+from egretrock.state.config import split_address
 from egretrock.state.outcome import RetryReason, RunState
 from egretrock_node.protocol.http import TargetProtocol
 from egretrock_node.protocol.requests import (
@@ -346,11 +347,11 @@
         on_failed: Callable[[Failure], None],
     ) -> None:
         """Makes a connection."""
-        host, _, port = address.rpartition(":")
+        host, port = split_address(address)
         factory = _Connecting(self, address, on_connected, on_failed)
         self._reactor.connectTCP(
-            host.strip("[]"),
-            int(port),
+            host,
+            port,
             factory,
             timeout=self.settings.connect_timeout_s,
         )
