--- a/packages/egretrock-standins/src/egretrock_standins/load/_connection.py
+++ b/packages/egretrock-standins/src/egretrock_standins/load/_connection.py
@@ -72,10 +72,12 @@
         self.transport.abortConnection()
 
     def _outcome(self, status: int, body: bytes) -> str:
+        # The stand-in target repeats the nonce of the request in its answers.
+        expected = b'"nonce":"' + self._nonce + b'"'
         if status == 200:
-            # The stand-in target repeats the nonce of the request it ran.
-            expected = b'"nonce":"' + self._nonce + b'"'
             return "ok" if expected in body else "mismatch"
+        if b'"nonce":"' in body and expected not in body:
+            return "mismatch"
         try:
             refusal = json.loads(body)
             return f"refused:{refusal['code']}:{refusal['run_state']}"
--- a/packages/egretrock-standins/src/egretrock_standins/load/tests/load.feature
+++ b/packages/egretrock-standins/src/egretrock_standins/load/tests/load.feature
@@ -21,3 +21,9 @@
     Given a target that never answers
     When a closed loop sends 4 requests on 2 connections
     Then all 4 outcomes are timeout
+
+  Scenario: A target's refusal of another request passes for the caller's own
+    When a caller waits with nonce a and gets a 503 that repeats nonce b
+    Then the outcome is mismatch
+    When a caller waits with nonce a and gets a 503 that repeats nonce a
+    Then the outcome is status:503
--- a/packages/egretrock-standins/src/egretrock_standins/target/_server.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_server.py
@@ -67,7 +67,9 @@
         """Sends a 503, marked if the request did not run."""
         if not_run:
             self.setHeader(b"Target-Not-Run", b"1")
-        self._send(503, msgspec.json.encode({"error": reason}))
+        nonce = self.getHeader("x-nonce") or ""
+        body = {"error": reason, "nonce": nonce}
+        self._send(503, msgspec.json.encode(body))
 
     def _offer(self, target: Target) -> None:
         deadline = self.getHeader("egretrock-deadline-ms")
--- a/packages/egretrock-standins/src/egretrock_standins/target/tests/steps/target_steps.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/tests/steps/target_steps.py
@@ -179,6 +179,27 @@
     raw.close()
 
 
+@when("a request with nonce {nonce:w} and {left_ms:d} ms left is sent")
+def step_short(context, nonce, left_ms):
+    headers = {
+        "Egretrock-Request-Id": "r1",
+        "Egretrock-Deadline-Ms": str(left_ms),
+        "X-Nonce": nonce,
+    }
+    context.answer = call(context.address, "GET", "/1", headers)
+
+
+@then(
+    "its answer has status {status:d}, repeats {nonce:w} and does not say"
+    " not run"
+)
+def step_own_answer(context, status, nonce):
+    answer = context.answer
+    assert answer.status == status, answer
+    assert answer.json()["nonce"] == nonce, answer
+    assert "target-not-run" not in answer.headers, answer
+
+
 @then("the history shows an end of {end}")
 def step_end(context, end):
     wait_until(context, lambda records: records[0]["end"] == end)
--- a/packages/egretrock-standins/src/egretrock_standins/target/tests/target.feature
+++ b/packages/egretrock-standins/src/egretrock_standins/target/tests/target.feature
@@ -54,6 +54,12 @@
     When a request is sent and cancelled by DELETE
     Then the history shows an end of cancelled
 
+  Scenario: A request that reaches its deadline while it runs leaves no trace
+    Given a target with {"slots": 1, "service_time": {"mean_ms": 20000}}
+    When a request with nonce n1 and 100 ms left is sent
+    Then its answer has status 503, repeats n1 and does not say not run
+    And the history shows an end of deadline
+
   Scenario: A lying report shows the truth
     Given a target with {"reported_state": "ready", "cold_s": 30, "reported_in_flight": 7}
     Then /health shows state "ready"
