--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -24,6 +24,7 @@
     pack,
     unpack,
 )
+from egretrock.coordination.directory._relay import Relay
 from egretrock.coordination.gossip import MemberRecord
 from egretrock.state.ids import NodeId, Revision
 
@@ -41,6 +42,10 @@
         retry_s: Pause of a reader after a failed read.
         own_retry_s: The same for other nodes, doubled up to 4 times.
         want_s: Seconds between two questions for what a node has missed.
+        first_read_s: Seconds from the start for which a node asks its peers
+            before it reads everything itself; a fleet that starts at once
+            would read once a node otherwise.
+        first_want_s: Seconds between two such questions.
         outage_s: Age that counts as an outage of the platform.
         hold_s: Seconds after the end of an outage for which entries that
             went missing in it are kept; targets that live register again
@@ -55,6 +60,8 @@
     retry_s: float = 0.15
     own_retry_s: float = 0.4
     want_s: float = 0.25
+    first_read_s: float = 0.6
+    first_want_s: float = 0.05
     outage_s: float = 1.4
     hold_s: float = 2.2
     log_size: int = 500
@@ -95,6 +102,8 @@
 #: Messages of which some parts are missing, over all senders.
 _MAX_PARTIAL = 32
 _PARTIAL_S = 1.0
+#: Share of the questions of a new node that go to its own data centre.
+_NEAR_SHARE = 0.7
 
 
 class Directory:
@@ -107,6 +116,8 @@
         now_s: Time of the start.
         settings: Times.
         counters: Counters.
+        reads_at_once: Returns whether a node that knows nothing must not
+            wait for what its peers know.
     """
 
     def __init__(
@@ -117,9 +128,12 @@
         now_s: float,
         settings: DirectorySettings = _DEFAULTS,
         counters: Counters | None = None,
+        reads_at_once: Callable[[], bool] = lambda: True,
     ) -> None:
         self._node = node
         self._members = members
+        self._reads_at_once = reads_at_once
+        self._relay = Relay(node)
         self._rng = rng
         self._settings = settings
         self._counters = counters or NullCounters()
@@ -137,10 +151,12 @@
         self._needs_whole = True
         self._failures = 0
         self._next_read_s = now_s
-        self._want_s = now_s + self._settings.want_s
+        self._first_read_s = now_s + self._settings.first_read_s
+        self._want_s = now_s
         self._missed_from: NodeId | None = None
         self._told_s = float("-inf")
-        self._number = 0
+        # A process that follows another one must not repeat its numbers.
+        self._number = rng.getrandbits(48)
         self._partial: dict[tuple[NodeId, int], _Partial] = {}
         self.generation = 0
 
@@ -218,6 +234,9 @@
         if now_s < self._next_read_s:
             return None
         if self._needs_whole:
+            is_first = not self._revision and now_s < self._first_read_s
+            if is_first and not self._reads_at_once():
+                return None
             return ReadOrder(ReadKind.WHOLE)
         if self.is_reader():
             return ReadOrder(
@@ -310,15 +329,26 @@
         if now_s < self._want_s:
             return []
         missed, self._missed_from = self._missed_from, None
+        period_s = self._settings.want_s
         if missed is None and not self._revision:
-            # The platform may be away; other nodes know its entries.
-            nodes = [r.node for r in self._members() if r.node != self._node]
-            missed = self._rng.choice(nodes) if nodes else None
+            # Other nodes may know the entries, also while the platform is
+            # away.
+            missed = self._draw_peer()
+            if now_s < self._first_read_s:
+                period_s = self._settings.first_want_s
         if missed is None:
             return []
-        self._want_s = now_s + self._settings.want_s
+        self._want_s = now_s + period_s
         return [Outbound(missed, Want(self._revision))]
 
+    def _draw_peer(self) -> NodeId | None:
+        """Returns any member, more often one of the own data centre."""
+        own, *others = self._members()
+        near = [r for r in others if r.data_centre == own.data_centre]
+        if near and self._rng.random() < _NEAR_SHARE:
+            others = near
+        return self._rng.choice(others).node if others else None
+
     @singledispatchmethod
     def _take(
         self, body: Message, sender: Peer, now_s: float
@@ -343,11 +373,25 @@
 
     @_take.register
     def _(self, body: News, sender: Peer, now_s: float) -> list[Outbound]:
+        passed_on = self._pass_on(body)
         if body.until < self._revision:
-            return []
+            return passed_on
         parts = self._collect(sender, body, now_s)
         if parts is None:
+            return passed_on
+        return passed_on + self._take_news(sender, body, parts, now_s)
+
+    def _pass_on(self, body: News) -> list[Outbound]:
+        if body.origin is None:
             return []
+        nodes = self._relay.next_hops(
+            body.origin, body.number, body.part, self._members()
+        )
+        return [Outbound(node, body) for node in nodes]
+
+    def _take_news(
+        self, sender: Peer, body: News, parts: list[bytes], now_s: float
+    ) -> list[Outbound]:
         try:
             changes = unpack(parts)
         except UnpackError:
@@ -454,8 +498,8 @@
         if not changes and now_s - self._told_s < self._settings.watch_s / 2:
             return []
         self._told_s = now_s
-        nodes = [r.node for r in self._members() if r.node != self._node]
-        return self._messages(nodes, since, changes, now_s)
+        nodes = self._relay.entries(self._members())
+        return self._messages(nodes, since, changes, now_s, origin=self._node)
 
     def _whole(self, node: NodeId, now_s: float) -> list[Outbound]:
         entries = [
@@ -471,6 +515,7 @@
         changes: Sequence[Change],
         now_s: float,
         is_whole: bool = False,
+        origin: NodeId | None = None,
     ) -> list[Outbound]:
         self._number += 1
         pieces = pack(changes)
@@ -487,6 +532,7 @@
                     part,
                     len(pieces),
                     piece,
+                    origin,
                 ),
             )
             for node in nodes
@@ -499,7 +545,7 @@
         """Returns all parts of a message once they are here."""
         if body.parts == 1:
             return [body.data]
-        key = (sender.node, body.number)
+        key = (body.origin or sender.node, body.number)
         partial = self._partial.get(key)
         if partial is None:
             if len(self._partial) >= _MAX_PARTIAL:
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from egretrock.coordination.base import Message
-from egretrock.state.ids import Revision
+from egretrock.state.ids import NodeId, Revision
 
 
 class Change(msgspec.Struct, frozen=True, array_like=True):
@@ -31,10 +31,13 @@
         until: Revision of the directory after them.
         age_ms: Milliseconds since the read that confirmed ``until`` was sent.
         is_whole: Whether ``data`` holds all entries.
-        number: Number of the message at its sender, the same in all parts.
+        number: Number of the message at the node that sent it first, the
+            same in all parts.
         part: Number of this part, from 0 to ``parts`` - 1.
         parts: Parts of the message.
         data: Piece of the packed changes.
+        origin: Reader that sent the message first, where members pass it
+            on; None where it answers a question.
     """
 
     since: Revision
@@ -45,6 +48,7 @@
     part: int = 0
     parts: int = 1
     data: bytes = b""
+    origin: NodeId | None = None
 
 
 class Want(Message, frozen=True, tag="directory.want"):
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
@@ -43,6 +43,9 @@
             when it asks first.
         news_count: Records that travel with a message.
         helpers: Members asked to ping one that does not answer.
+        far: Members of other data centres pinged in each round, besides all
+            of the own one. A large fleet keeps most pings inside its data
+            centres, where a member is missed first.
     """
 
     interval_s: float = 0.25
@@ -55,6 +58,7 @@
     settle_s: tuple[float, ...] = (0.5, 1.2)
     news_count: int = 6
     helpers: int = 2
+    far: int = 12
 
 
 class Member(msgspec.Struct):
@@ -177,6 +181,11 @@
             self._cached = nodes, records
         return self._cached
 
+    def count_in(self, data_centre: DataCentreId) -> int:
+        """Returns the members alive in a data centre."""
+        records = self.alive_records()
+        return sum(record.data_centre == data_centre for record in records)
+
     def known_count(self) -> int:
         """Returns the size of the fleet, with members lost of late."""
         lost = sum(
@@ -315,13 +324,19 @@
         return [Outbound(seed, ping) for seed in seeds]
 
     def _next_in_order(self) -> NodeId | None:
-        """Returns the members in a random order, each once in a round."""
+        """Returns members in a random order, each at most once in a round."""
         alive = self.alive_nodes()
         while self._order:
             node = self._order.pop()
             if node in alive:
                 return node
-        self._order = sorted(alive - {self.node})
+        own, *others = self.alive_records()
+        near, far = [], []
+        for record in others:
+            is_near = record.data_centre == own.data_centre
+            (near if is_near else far).append(record.node)
+        self._rng.shuffle(far)
+        self._order = sorted(near + far[: self._settings.far])
         self._rng.shuffle(self._order)
         return self._order.pop() if self._order else None
 
--- a/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
@@ -13,11 +13,19 @@
     LoadProbe,
     LoadReading,
 )
+from egretrock.coordination.probing._subsets import (
+    Subset,
+    SubsetSettings,
+    TargetSubsets,
+)
 
 __all__ = [
     "ChoiceSettings",
     "LoadProbe",
     "LoadReading",
     "ServiceView",
+    "Subset",
+    "SubsetSettings",
     "TargetChooser",
+    "TargetSubsets",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -3,7 +3,7 @@
 import collections
 import itertools
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
 
@@ -14,6 +14,7 @@
     LoadReading,
     TargetMemory,
 )
+from egretrock.coordination.probing._subsets import TargetSubsets
 from egretrock.coordination.targets import (
     Assignment,
     CallOutcome,
@@ -22,7 +23,6 @@
 )
 from egretrock.state.config import Target
 from egretrock.state.ids import (
-    DataCentreId,
     OrganisationId,
     ServiceId,
     TargetId,
@@ -133,25 +133,29 @@
 
     Args:
         targets_of: Usable targets of a service.
-        data_centre: Data centre of this node.
+        subsets: Targets that this node prefers.
         rng: Source of the order in which targets are asked.
         settings: Bounds.
         counters: Counters.
         node_count: Returns the nodes among which the probes are divided.
+        on_probes: Called when there are new probes to send; the callee sends
+            them after it has returned.
     """
 
     def __init__(
         self,
         targets_of: ServiceView,
-        data_centre: DataCentreId,
+        subsets: TargetSubsets,
         rng: random.Random,
         settings: ChoiceSettings = _DEFAULTS,
         counters: Counters | None = None,
         node_count: Callable[[], int] = lambda: 1,
+        on_probes: Callable[[], None] = lambda: None,
     ) -> None:
+        self._on_probes = on_probes
         self._node_count = node_count
         self._targets_of = targets_of
-        self._data_centre = data_centre
+        self._subsets = subsets
         self._rng = rng
         self.settings = settings
         self._counters = counters or NullCounters()
@@ -231,6 +235,10 @@
 
     # Probes.
 
+    def has_demand(self) -> bool:
+        """Returns whether requests wait for a target."""
+        return bool(self._service_of)
+
     def take_probes(self) -> list[LoadProbe]:
         """Returns the probes to send."""
         unsent, self._unsent = self._unsent, []
@@ -283,12 +291,8 @@
                 continue
             round_ = _Round(service, now_s)
             demand.rounds.append(round_)
-            near = [
-                target_id
-                for target_id, target in self._targets_of(service).items()
-                if target.data_centre == self._data_centre
-            ]
-            if not self._ask(round_, near, self.settings.near, now_s):
+            near = self._subsets.of(service, targets).near
+            if not self._ask(round_, [near], self.settings.near, now_s):
                 self._ask_far(round_, now_s)
             if not round_.pending:
                 self._end(round_, now_s)
@@ -329,33 +333,25 @@
 
     def _ask_far(self, round_: _Round, now_s: float) -> None:
         round_.asked_far = True
-        far = [
-            target_id
-            for target_id in self._targets_of(round_.service)
-            if target_id not in round_.asked
-        ]
-        self._ask(round_, far, self.settings.far, now_s)
+        service = round_.service
+        tiers = self._subsets.of(service, self._targets_of(service))
+        self._ask(round_, tiers, self.settings.far, now_s)
 
     def _ask(
-        self, round_: _Round, among: list[TargetId], count: int, now_s: float
+        self,
+        round_: _Round,
+        tiers: Sequence[list[TargetId]],
+        count: int,
+        now_s: float,
     ) -> bool:
         """Sends up to ``count`` probes; returns whether any was sent.
 
-        The first probe of a round is sent whatever the budget says.
+        Targets of an earlier tier are asked first, and those that looked
+        slow of late after all others. The first probe of a round is sent
+        whatever the budget says.
         """
         targets = self._targets_of(round_.service)
-        excluded = self._excluded(round_.service)
-        resting, ready = [], []
-        for target_id in among:
-            if target_id in excluded:
-                continue
-            memory = self._memory.get(target_id)
-            if memory is not None and now_s < memory.resume_s:
-                continue
-            is_slow = self._was_slow(memory, now_s)
-            (resting if is_slow else ready).append(target_id)
-        self._rng.shuffle(ready)
-        self._rng.shuffle(resting)
+        ready, resting = self._sort_tiers(round_, tiers, now_s)
         demand = self._demands[round_.service]
         # A budget that runs short gives every request fewer probes, which is
         # better than many for some and none for others.
@@ -381,8 +377,32 @@
                 )
             )
             self._counters.increment("probes.sent")
+        if sent:
+            self._on_probes()
         return sent
 
+    def _sort_tiers(
+        self, round_: _Round, tiers: Sequence[list[TargetId]], now_s: float
+    ) -> tuple[list[TargetId], list[TargetId]]:
+        """Returns the targets to ask: those in good state, and the others."""
+        left_out = self._excluded(round_.service) | round_.asked
+        ready, resting = [], []
+        for tier in tiers:
+            good, poor = [], []
+            for target_id in tier:
+                memory = self._memory.get(target_id)
+                if target_id in left_out:
+                    continue
+                if memory is not None and now_s < memory.resume_s:
+                    continue
+                is_slow = self._was_slow(memory, now_s)
+                (poor if is_slow else good).append(target_id)
+            self._rng.shuffle(good)
+            self._rng.shuffle(poor)
+            ready += good
+            resting += poor
+        return ready, resting
+
     def _refill(self, demand: _Demand, targets: int, now_s: float) -> None:
         """Adds the probes that the budget allows since the last call."""
         rate_per_s = self.settings.probes_per_target_s * targets
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
@@ -7,12 +7,14 @@
     ChoiceSettings,
     LoadReading,
     TargetChooser,
+    TargetSubsets,
 )
 from egretrock.coordination.targets import CallOutcome, CallResult
 from egretrock.state.config import Target
 from egretrock.state.ids import (
     DataCentreId,
     InstanceId,
+    NodeId,
     OrganisationId,
     ServiceId,
     TargetId,
@@ -43,7 +45,7 @@
         self.permits = []
         self.chooser = TargetChooser(
             lambda service: self.targets,
-            HERE,
+            TargetSubsets(NodeId("n1"), HERE, lambda: 4, lambda: 16),
             random.Random(7),
             settings or ChoiceSettings(),
         )
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -3,6 +3,7 @@
 import gc
 import random
 import secrets
+import select
 import socket
 import time
 from collections.abc import Callable, Sequence
@@ -10,7 +11,7 @@
 
 import logbook
 from msgspec.structs import replace
-from twisted.internet import defer, task
+from twisted.internet import defer
 from twisted.internet.error import CannotListenError
 
 from egretrock.coordination.base import (
@@ -26,7 +27,7 @@
     ReadOrder,
 )
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, Membership
-from egretrock.coordination.probing import TargetChooser
+from egretrock.coordination.probing import TargetChooser, TargetSubsets
 from egretrock.coordination.queueing import FairQueue
 from egretrock.coordination.quota import QUOTA_MESSAGES, PooledRates
 from egretrock.coordination.retries import (
@@ -43,6 +44,7 @@
     Revision,
     ServiceId,
 )
+from egretrock_node.gateway._clock import FINE_STEP_S, GatewayClock
 from egretrock_node.gateway._idempotency import NoRecords
 from egretrock_node.gateway._pages import PageServer
 from egretrock_node.gateway._ports import Platform
@@ -67,9 +69,6 @@
 
 _log = logbook.Logger("egretrock.gateway")
 
-#: Steps of the reactor's clock that drive the timer service. Rounds of
-#: probes are counted in tens of milliseconds.
-_CLOCK_STEP_S = 0.01
 _FLEET_TICK_S = 0.05
 _SWEEP_S = 0.5
 #: Waiting requests of one service; more could not be served in their time.
@@ -137,8 +136,10 @@
         self._make_request_path()
         self._make_sockets()
         self.draining = Draining(self, settings.drain, on_end)
-        self._loop = task.LoopingCall(self._advance)
-        self._loop.clock = reactor
+        self._steps = GatewayClock(
+            reactor, self._advance, self.chooser.has_demand
+        )
+        self._probes_are_due = False
 
     # Construction.
 
@@ -162,6 +163,7 @@
             now_s,
             settings.directory,
             counters,
+            self._reads_at_once,
         )
         self.publication = Publication(self.directory, self._platform)
         self.rates = PooledRates(
@@ -173,11 +175,18 @@
         )
         self.chooser = TargetChooser(
             self.publication.usable_targets,
-            settings.data_centre,
+            TargetSubsets(
+                self.peer.node,
+                settings.data_centre,
+                lambda: self.membership.count_in(settings.data_centre),
+                lambda: len(self.membership.alive_nodes()),
+                settings.subsets,
+            ),
             rng,
             settings.choice,
             counters,
             self.membership.known_count,
+            self._on_probes_due,
         )
         self.queue = FairQueue(
             self.publication.rate_of, self._queue_bound_of, counters
@@ -285,10 +294,10 @@
         if settings.metrics_address is not None:
             self._metrics.listen(settings.metrics_address)
         subscribe = self.timers.subscribe
-        subscribe(_CLOCK_STEP_S, self._on_request_tick)
+        subscribe(FINE_STEP_S, self._on_request_tick)
         subscribe(_FLEET_TICK_S, self._on_fleet_tick)
         subscribe(_SWEEP_S, self._on_sweep)
-        self._loop.start(_CLOCK_STEP_S, now=False)
+        self._steps.start()
         self._on_fleet_tick(self.clock())
         # What the start left behind lives as long as the process.
         gc.collect()
@@ -323,8 +332,7 @@
         """Stops the timers and closes the sockets."""
         if self._caller_socket is not None:
             self._caller_socket.close()
-        if self._loop.running:
-            self._loop.stop()
+        self._steps.stop()
         self.reader.close()
         self.callers.close()
         self.pool.close()
@@ -350,6 +358,19 @@
 
     # ReadSink.
 
+    def _reads_at_once(self) -> bool:
+        """Returns whether others rely on this node's first read.
+
+        Those are callers that wait to be accepted, and all nodes of a fleet
+        that starts, where this node is one of the seeds.
+        """
+        if self.settings.node in self.settings.seeds:
+            return True
+        listening = self._caller_socket
+        return listening is None or bool(
+            select.select([listening], [], [], 0)[0]
+        )
+
     def next_read(self) -> ReadOrder | None:
         """Returns the read that is due, or None."""
         return self.directory.next_read(self.clock())
@@ -465,6 +486,17 @@
         self.pipeline.on_tick(now_s)
         self.draining.on_tick(now_s)
 
+    def _on_probes_due(self) -> None:
+        """Sends new probes once the part that asked for them is done."""
+        if not self._probes_are_due:
+            self._probes_are_due = True
+            self._reactor.callLater(0, self._send_probes)
+
+    def _send_probes(self) -> None:
+        self._probes_are_due = False
+        self._steps.wake()
+        self.prober.send()
+
     def _on_probe_answer(self) -> None:
         self.pipeline.poll(self.clock())
         self.prober.send()
--- a/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
@@ -4,7 +4,7 @@
 
 from egretrock.coordination.directory import DirectorySettings
 from egretrock.coordination.gossip import GossipSettings
-from egretrock.coordination.probing import ChoiceSettings
+from egretrock.coordination.probing import ChoiceSettings, SubsetSettings
 from egretrock.coordination.quota import QuotaSettings
 from egretrock.state.ids import DataCentreId, NodeId
 from egretrock_node.settings import DrainSettings
@@ -59,4 +59,5 @@
     directory: DirectorySettings = DirectorySettings()
     quota: QuotaSettings = QuotaSettings()
     choice: ChoiceSettings = ChoiceSettings()
+    subsets: SubsetSettings = SubsetSettings()
     retries: RetryBudgetSettings = RetryBudgetSettings()
