Compare membership by count, tell large fleets by two roots a data centre

Cause: in virtual time 4 s after 111 nodes started at once their views had 94 to 111 members and named four different pairs of readers: 111 new records waited for 14 sends each. A frozen root of a tree that is also inside the other tree kept a change from six nodes for 0.9 s. Change: pings say how many members the sender believes alive, and one that knows fewer asks for all, at most 200 records a second; records from such answers are not news; a node counts as able to read until a read fails; two members of each data centre pass news on to the same first level. The virtual store answers a watch when something changes.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -223,6 +223,10 @@
         """Returns whether this node reads for the fleet."""
         return self._node in self.readers()
 
+    def told_directly(self) -> list[NodeId]:
+        """Returns the members that this node tells where it is a reader."""
+        return self._relay.entries(self._members())
+
     # Reads of this node.
 
     def next_read(self, now_s: float) -> ReadOrder | None:
@@ -498,7 +502,7 @@
         if not changes and now_s - self._told_s < self._settings.watch_s / 2:
             return []
         self._told_s = now_s
-        nodes = self._relay.entries(self._members())
+        nodes = self.told_directly()
         return self._messages(nodes, since, changes, now_s, origin=self._node)
 
     def _whole(self, node: NodeId, now_s: float) -> list[Outbound]:
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_relay.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_relay.py
@@ -13,9 +13,10 @@
 #: Members that one member passes news on to; a member of a data centre of 320
 #: gets them over four hops.
 _FAN_OUT = 6
-#: Members of each data centre that the reader tells. The second covers for a
-#: first one that has failed and is still taken for alive.
-_ENTRIES = 2
+#: Members of each data centre that the reader tells, and that pass the news
+#: on to the same members. The second covers for a first one that has failed
+#: and is still taken for alive.
+_ROOTS = 2
 #: News that are remembered as passed on.
 _SEEN = 512
 
@@ -48,7 +49,7 @@
         return [
             node
             for centre in centres
-            for node in self._order(self._node, centre, members)[:_ENTRIES]
+            for node in self._order(self._node, centre, members)[:_ROOTS]
         ]
 
     def next_hops(
@@ -75,7 +76,10 @@
         order = self._order(origin, members[0].data_centre, members)
         if self._node not in order:
             return []
-        first = _FAN_OUT * order.index(self._node) + 1
+        place = order.index(self._node)
+        first = _ROOTS
+        if place >= _ROOTS:
+            first += _FAN_OUT * (place - _ROOTS + 1)
         return order[first : first + _FAN_OUT]
 
     def _order(
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
@@ -64,3 +64,28 @@
     When an entry of 60000 random bytes is written
     And 1.9 seconds pass
     Then every node has the entry
+
+  Scenario: Every node of a fleet that starts reads everything for itself
+    Given 111 nodes that have just started beside a store
+    Then all nodes together made at most 12 first reads
+    And every node has the first entry
+
+  Scenario: A reader sends news to every member of a large fleet
+    Given a large fleet of 111 nodes that have read the store
+    When the sends of news are counted for 10 seconds
+    Then no node sent more than 30 of them a second
+    When 5 seconds pass
+    Then no node's knowledge was older than 1 second
+
+  Scenario: Members below one that passes nothing on miss a change
+    Given a large fleet of 111 nodes that have read the store
+    When the first member of each data centre is frozen
+    And an entry is written
+    And 0.4 seconds pass
+    Then every node has the entry
+
+  Scenario: Both readers of a large fleet die with a change
+    Given a large fleet of 111 nodes that have read the store
+    When both readers are killed and an entry is written
+    And 1.9 seconds pass
+    Then every node has the entry
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
@@ -1,12 +1,15 @@
+import collections
+
 from behave import given, then, when
 
+from egretrock.coordination.directory import DIRECTORY_MESSAGES
 from egretrock_standins.virtual import DiscoveredFleet, Faults
 
 FIRST, NEW = "servers/first", "servers/new"
 
 
-def make(context, loss):
-    fleet = DiscoveredFleet(3, 19, faults=Faults(loss=loss))
+def make(context, loss, count=19):
+    fleet = DiscoveredFleet(3, count, faults=Faults(loss=loss))
     fleet.store.put(FIRST, b"1")
     for number in range(40):
         fleet.store.put(f"servers/{number}", b"x" * 150)
@@ -14,6 +17,7 @@
     fleet.run_for(4.0)
     context.fleet = fleet
     context.expected = {}
+    context.frozen = set()
 
 
 def readers(fleet):
@@ -30,6 +34,17 @@
     make(context, 0.0)
 
 
+@given("{count:d} nodes that have just started beside a store")
+def step_given_started(context, count):
+    make(context, 0.0, count)
+    context.calls = context.fleet.store.calls
+
+
+@given("a large fleet of {count:d} nodes that have read the store")
+def step_given_large(context, count):
+    make(context, 0.0, count)
+
+
 @given("19 nodes that have read the store, with {loss:d}% loss")
 def step_given_lossy(context, loss):
     make(context, loss / 100)
@@ -49,6 +64,30 @@
     context.calls = fleet.store.calls - calls
 
 
+@when("the sends of news are counted for {span_s:g} seconds")
+def step_count(context, span_s):
+    fleet = context.fleet
+    context.sends = collections.Counter()
+    fleet.network.on_send = lambda sender, message: context.sends.update(
+        [sender] if isinstance(message.body, DIRECTORY_MESSAGES) else []
+    )
+    fleet.run_for(span_s)
+    fleet.network.on_send = None
+    context.span_s = span_s
+
+
+@when("the first member of each data centre is frozen")
+def step_freeze(context):
+    fleet = context.fleet
+    origin, other = readers(fleet)
+    told = fleet.nodes[origin].directory.told_directly()
+    assert len(told) == 8, told
+    # Two of each data centre; the other reader must be able to do its part.
+    context.frozen = {node for node in told[::2] if node != other}
+    for node in context.frozen:
+        fleet.network.freeze(node)
+
+
 @when("an entry is written")
 def step_write(context):
     write(context, NEW, b"new")
@@ -131,6 +170,18 @@
     assert context.calls <= limit, context.calls
 
 
+@then("all nodes together made at most {limit:d} first reads")
+def step_first_reads(context, limit):
+    wholes = context.fleet.store.whole_reads
+    assert wholes <= limit, wholes
+
+
+@then("no node sent more than {limit:g} of them a second")
+def step_sends(context, limit):
+    node, count = context.sends.most_common(1)[0]
+    assert count / context.span_s <= limit, (node, count)
+
+
 @then("no node's knowledge was older than {limit_s:g} second")
 def step_age(context, limit_s):
     assert context.oldest_s <= limit_s, context.oldest_s
@@ -140,6 +191,8 @@
 @then("every node has all entries")
 def step_has(context):
     for name, process in context.fleet.nodes.items():
+        if name in context.frozen:
+            continue
         entries = process.directory.entries()
         missing = [
             key
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
@@ -38,9 +38,9 @@
             member is known.
         seek_s: The same once members are known; it joins fleets that started
             apart.
-        settle_s: Seconds after the start at which a node asks once more for
-            all members, because a fleet that starts at once is still forming
-            when it asks first.
+        compare_per_s: Members a second that a node asks for because another
+            one knows more than it does. A fleet that starts at once has more
+            news than travel with its pings.
         news_count: Records that travel with a message.
         helpers: Members asked to ping one that does not answer.
         far: Members of other data centres pinged in each round, besides all
@@ -55,7 +55,7 @@
     remember_s: float = 30.0
     join_s: float = 0.1
     seek_s: float = 1.0
-    settle_s: tuple[float, ...] = (0.5, 1.2)
+    compare_per_s: float = 200.0
     news_count: int = 6
     helpers: int = 2
     far: int = 12
@@ -92,6 +92,8 @@
 _DEFAULTS = GossipSettings()
 #: Records of one datagram that answers a new member; each takes 100 bytes.
 _ALL_CHUNK = 10
+#: Number of answers that tell of many members; no ping has it.
+_WHOLE = 0
 #: Earlier processes of an address that are remembered.
 _MAX_ENDED = 7
 _HERE = (MemberState.ALIVE, MemberState.SUSPECT)
@@ -146,7 +148,7 @@
         self._next_number = 0
         self._ping_s = now_s
         self._seek_s = now_s
-        self._settle_s = [now_s + s for s in self._settings.settle_s]
+        self._compare_s = now_s
         self._doubted: set[NodeId] = set()
         self._changes: list[MemberRecord] = []
 
@@ -238,10 +240,7 @@
             )
             node = self._next_in_order()
             if node is not None:
-                wants_all = bool(self._settle_s) and now_s >= self._settle_s[0]
-                if wants_all:
-                    self._settle_s.pop(0)
-                out.append(self._ping(node, now_s, wants_all))
+                out.append(self._ping(node, now_s))
         return out
 
     def leave(self, now_s: float) -> list[Outbound]:
@@ -264,33 +263,37 @@
         """Takes a message of the protocol."""
         if sender.node == self.node:
             return []
-        self._merge(body.news, now_s)
+        # Others were told of the members of a whole answer before.
+        is_whole = isinstance(body, Ack) and body.number == _WHOLE
+        self._merge(body.news, now_s, spreads=not is_whole)
         lost = self._merge_own(sender, body.news, now_s)
         out = self._take(body, sender, now_s)
         if lost is not None:
             # It raises its version, without which others do not believe it.
-            out.append(Outbound(sender.node, Ack(0, [lost])))
+            out.append(Outbound(sender.node, Ack(_WHOLE, [lost])))
         return out
 
     @_take.register
     def _(self, body: Ping, sender: Peer, now_s: float) -> list[Outbound]:
-        ack = Ack(body.number, self._news())
+        ack = Ack(body.number, self._news(), len(self.alive_nodes()))
         out = [Outbound(sender.node, ack)]
+        out += self._compare(sender, body.alive, now_s)
         if body.wants_all:
             records = [m.record for m in self._members.values()]
             for start in range(0, len(records), _ALL_CHUNK):
                 chunk = records[start : start + _ALL_CHUNK]
-                out.append(Outbound(sender.node, Ack(0, chunk)))
+                out.append(Outbound(sender.node, Ack(_WHOLE, chunk)))
         return out
 
     @_take.register
     def _(self, body: Ack, sender: Peer, now_s: float) -> list[Outbound]:
-        del sender, now_s
         self._waiting.pop(body.number, None)
+        out = self._compare(sender, body.alive, now_s)
         relayed = self._relayed.pop(body.number, None)
-        if relayed is None:
-            return []
-        return [Outbound(relayed.asker, Ack(relayed.number, body.news))]
+        if relayed is not None:
+            passed_on = Ack(relayed.number, body.news)
+            out.append(Outbound(relayed.asker, passed_on))
+        return out
 
     @_take.register
     def _(
@@ -345,7 +348,17 @@
     ) -> Outbound:
         number = self._draw_number()
         self._waiting[number] = _Waiting(node, now_s)
-        return Outbound(node, Ping(number, self._news(), wants_all))
+        alive = len(self.alive_nodes())
+        return Outbound(node, Ping(number, self._news(), wants_all, alive))
+
+    def _compare(
+        self, sender: Peer, alive: int, now_s: float
+    ) -> list[Outbound]:
+        """Asks a member that knows more than this node for all it knows."""
+        if alive <= len(self.alive_nodes()) or now_s < self._compare_s:
+            return []
+        self._compare_s = now_s + alive / self._settings.compare_per_s
+        return [self._ping(sender.node, now_s, wants_all=True)]
 
     def _follow_up(self, now_s: float) -> list[Outbound]:
         """Asks helpers for silent members, then suspects them."""
@@ -397,12 +410,14 @@
 
     # Records.
 
-    def _merge(self, news: Iterable[MemberRecord], now_s: float) -> None:
+    def _merge(
+        self, news: Iterable[MemberRecord], now_s: float, spreads: bool
+    ) -> None:
         for record in news:
             if record.node == self.node:
                 self._refute(record)
             elif self._is_newer(record):
-                self._set(record, now_s)
+                self._set(record, now_s, spreads)
 
     def _merge_own(
         self, sender: Peer, news: Iterable[MemberRecord], now_s: float
@@ -482,7 +497,9 @@
         ranks = list(MemberState)
         return ranks.index(record.state) > ranks.index(known.state)
 
-    def _set(self, record: MemberRecord, now_s: float) -> None:
+    def _set(
+        self, record: MemberRecord, now_s: float, spreads: bool = True
+    ) -> None:
         known = self._members.get(record.node)
         if (
             known is None
@@ -491,7 +508,7 @@
         ):
             self._changes.append(record)
         size = len(self._members) + 2
-        sends = 2 * math.ceil(math.log2(size + 1))
+        sends = 2 * math.ceil(math.log2(size + 1)) if spreads else 0
         ended: frozenset[Incarnation] = frozenset()
         if known is not None:
             ended = known.ended
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_messages.py
@@ -30,7 +30,8 @@
         version: Number that only the member raises, to refute a suspicion
             or to tell something new of itself.
         state: What is believed.
-        reads_store: Whether its last read from the platform succeeded.
+        reads_store: Whether its last read from the platform succeeded, or
+            it has not tried.
     """
 
     node: NodeId
@@ -39,7 +40,7 @@
     started_ms: int
     version: int
     state: MemberState
-    reads_store: bool = False
+    reads_store: bool = True
 
 
 class Ping(Message, frozen=True, omit_defaults=True, tag="gossip.ping"):
@@ -48,19 +49,29 @@
     Attributes:
         number: Number that the answer repeats.
         news: What the sender tells of members, itself first.
-        wants_all: Whether the sender is new and wants to know all members.
+        wants_all: Whether the sender wants to know all members.
+        alive: Members that the sender believes to be alive.
     """
 
     number: int
     news: Sequence[MemberRecord] = ()
     wants_all: bool = False
+    alive: int = 0
 
 
 class Ack(Message, frozen=True, omit_defaults=True, tag="gossip.ack"):
-    """Answers a ping, or passes on the answer to another node's ping."""
+    """Answers a ping, or passes on the answer to another node's ping.
+
+    Attributes:
+        number: Number of the ping; 0 in an answer that is not the first.
+        news: What the sender tells of members.
+        alive: Members that the sender believes to be alive; 0 if it does
+            not say.
+    """
 
     number: int
     news: Sequence[MemberRecord] = ()
+    alive: int = 0
 
 
 class PingRequest(
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/tests/gossip.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/tests/gossip.feature
@@ -5,6 +5,11 @@
     When 1.5 seconds pass
     Then every node knows 19 members
 
+  Scenario: A large fleet that starts at once is long in finding together
+    Given 111 nodes that start at once
+    When 2.5 seconds pass
+    Then every node knows 111 members
+
   Scenario: A fleet does not find together because a seed is down
     Given 19 nodes that start at once without the first seed
     When 2 seconds pass
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_subsets.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_subsets.py
@@ -15,14 +15,14 @@
     """How many targets of a service a node asks.
 
     Attributes:
-        near: Targets of the own data centre; twice the number asked first,
-            so that a round has a choice.
+        near: Targets of the own data centre; half as many again as are
+            asked first, so that a round has a choice.
         far: Targets of other data centres.
         coverage: Nodes that shall have a target in their subset, on average;
             a target that no node has would get no work.
     """
 
-    near: int = 8
+    near: int = 6
     far: int = 12
     coverage: float = 6.0
 
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
@@ -1,6 +1,8 @@
 """Nodes that find each other, with a published store, in virtual time."""
 
+import functools
 import random
+from collections.abc import Callable
 
 from egretrock.coordination.base import Message, Outbound, Peer
 from egretrock.coordination.directory import (
@@ -36,6 +38,8 @@
         is_down: Whether it answers nobody.
         history_from: Revision from which it knows the changes.
         calls: Reads, refused ones included.
+        whole_reads: Those that asked for everything.
+        watchers: Called once at the next change.
     """
 
     def __init__(self) -> None:
@@ -45,6 +49,8 @@
         self.is_down = False
         self.history_from = Revision(1)
         self.calls = 0
+        self.whole_reads = 0
+        self.watchers: list[Callable[[], None]] = []
         self._history: list[Change] = []
 
     def put(self, key: str, value: bytes) -> Revision:
@@ -52,13 +58,20 @@
         self.revision = Revision(self.revision + 1)
         self.entries[key] = (value, self.revision)
         self._history.append(Change(key, self.revision, value))
+        self._wake()
         return self.revision
 
+    def _wake(self) -> None:
+        watchers, self.watchers = self.watchers, []
+        for watcher in watchers:
+            watcher()
+
     def remove(self, key: str) -> Revision:
         """Removes an entry."""
         self.revision = Revision(self.revision + 1)
         del self.entries[key]
         self._history.append(Change(key, self.revision, None))
+        self._wake()
         return self.revision
 
     def forget_history(self) -> None:
@@ -100,13 +113,18 @@
             now_s,
         )
         self.directory = Directory(
-            node, self.membership.alive_records, rng, now_s
+            node,
+            self.membership.alive_records,
+            rng,
+            now_s,
+            reads_at_once=lambda: node in fleet.seeds,
         )
         self.rates = PooledRates(
             self.membership, fleet.organisations.get, now_s, fleet.quota
         )
         self.rates.set_organisations(fleet.organisations, now_s)
         self._is_reading = False
+        self._read_number = 0
 
     def on_message(
         self, sender: Peer, body: Message, now_s: float
@@ -148,16 +166,27 @@
             return
         self._is_reading = True
         self._fleet.store.calls += 1
+        self._fleet.store.whole_reads += order.kind is ReadKind.WHOLE
+        network, store = self._fleet.network, self._fleet.store
+        self._read_number += 1
+        answer = functools.partial(
+            self._answer, order, now_s, self._read_number
+        )
         wait_s = order.wait_s or STORE_ANSWER_S
-        store = self._fleet.store
-        if order.kind is ReadKind.CHANGES and store.changes(order.after):
-            wait_s = STORE_ANSWER_S
-        at_s = now_s + wait_s
-        self._fleet.network.at(at_s, self._answer, order, now_s)
+        if order.kind is ReadKind.CHANGES and order.wait_s:
+            if store.changes(order.after):
+                wait_s = STORE_ANSWER_S
+            else:
+                store.watchers.append(
+                    lambda: network.at(network.now_s + STORE_ANSWER_S, answer)
+                )
+        network.at(now_s + wait_s, answer)
 
-    def _answer(self, order: ReadOrder, sent_s: float) -> None:
+    def _answer(self, order: ReadOrder, sent_s: float, number: int) -> None:
         if self._fleet.nodes.get(self.peer.node) is not self:
             return
+        if not self._is_reading or number != self._read_number:
+            return
         self._is_reading = False
         store, directory = self._fleet.store, self.directory
         now_s = self._fleet.network.now_s
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
@@ -45,12 +45,16 @@
     Args:
         rng: Source of loss, duplication and delays.
         faults: What happens to messages; may be changed while running.
+
+    Attributes:
+        on_send: Called with sender and message of each send, or None.
     """
 
     def __init__(self, rng: random.Random, faults: Faults) -> None:
         self.now_s = 0.0
         self.faults = faults
         self.sent_count = 0
+        self.on_send: Callable[[NodeId, Outbound], None] | None = None
         self._rng = rng
         self._nodes: dict[NodeId, _Node] = {}
         self._cuts: set[tuple[NodeId, NodeId]] = set()
@@ -105,6 +109,8 @@
             return
         for message in messages:
             self.sent_count += 1
+            if self.on_send is not None:
+                self.on_send(sender, message)
             copies = 1 + (self._rng.random() < self.faults.duplication)
             for _ in range(copies):
                 self._send_copy(entry.peer, message)
