--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
@@ -56,3 +56,18 @@
     When 400 requests arrive in turn within 4 seconds
     Then at most 130 probes were sent
     And all requests got a target
+
+  Scenario: A node keeps connections to all targets of a large service
+    Given a service of 40 near and 60 far targets and a fleet of 30 near and 90 far nodes
+    When 200 requests arrive in turn within 4 seconds
+    Then at most 8 targets were asked
+    When the targets of its own data centre are full and 50 requests arrive
+    Then all requests got a target
+
+  Scenario: A target of a large service is in the subset of no node
+    Then each of 40 targets is in the subset of some of 30 nodes
+    And each of 200 targets is in the subset of some of 4 nodes
+
+  Scenario: A target that joins moves the subsets of all nodes
+    When a target joins a service of 40 and 30 nodes use it
+    Then each subset changes by at most one target
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
@@ -26,17 +26,25 @@
 STEP_S = 0.005
 
 
+def make_targets(near, far):
+    targets = {}
+    for number in range(near + far):
+        centre = HERE if number < near else DataCentreId("there")
+        target_id = TargetId(f"t{number}")
+        targets[target_id] = Target(f"10.1.0.{number}:80", centre, 2)
+    return targets
+
+
+def make_subsets(node, near_nodes, nodes):
+    return TargetSubsets(NodeId(node), HERE, lambda: near_nodes, lambda: nodes)
+
+
 class World:
     """A chooser and targets whose answers a scenario sets."""
 
-    def __init__(self, settings=None):
-        self.targets = {}
-        for number in range(12):
-            centre = HERE if number < 4 else DataCentreId("there")
-            target_id = TargetId(f"t{number}")
-            address = f"10.1.0.{number}:80"
-            self.targets[target_id] = Target(address, centre, 2)
-        self.near = list(self.targets)[:4]
+    def __init__(self, settings=None, near=4, far=8, nodes=(4, 16)):
+        self.targets = make_targets(near, far)
+        self.near = list(self.targets)[:near]
         self.answers = {target_id: {} for target_id in self.targets}
         self.silent = set()
         self.asked = []
@@ -45,7 +53,7 @@
         self.permits = []
         self.chooser = TargetChooser(
             lambda service: self.targets,
-            TargetSubsets(NodeId("n1"), HERE, lambda: 4, lambda: 16),
+            make_subsets("n1", *nodes),
             random.Random(7),
             settings or ChoiceSettings(),
         )
@@ -294,3 +302,57 @@
 def step_probes(context, limit):
     # 12 targets: what 4 seconds earn, what was saved up, one round beyond.
     assert len(context.world.asked) <= limit, len(context.world.asked)
+
+
+@given(
+    "a service of {near:d} near and {far:d} far targets and a fleet of"
+    " {near_nodes:d} near and {far_nodes:d} far nodes"
+)
+def step_large(context, near, far, near_nodes, far_nodes):
+    nodes = near_nodes, near_nodes + far_nodes
+    context.world = World(near=near, far=far, nodes=nodes)
+
+
+@when(
+    "the targets of its own data centre are full and {count:d} requests arrive"
+)
+def step_near_full(context, count):
+    world = context.world
+    world.permits.clear()
+    world.tickets = 0
+    world.set_all(world.near, running=2, waiting=2)
+    for _ in range(count):
+        world.arrive()
+        world.run(0.05)
+
+
+@then("at most {limit:d} targets were asked")
+def step_asked_few(context, limit):
+    assert len(set(context.world.asked)) <= limit, set(context.world.asked)
+
+
+def all_subsets(targets, count):
+    return [
+        set(make_subsets(f"n{number}", count, count).of(SERVICE, targets).near)
+        for number in range(count)
+    ]
+
+
+@then("each of {targets:d} targets is in the subset of some of {nodes:d} nodes")
+def step_covered(context, targets, nodes):
+    listed = make_targets(targets, 0)
+    covered = set().union(*all_subsets(listed, nodes))
+    assert covered == set(listed), set(listed) - covered
+
+
+@when("a target joins a service of {count:d} and {nodes:d} nodes use it")
+def step_joins(context, count, nodes):
+    before = all_subsets(make_targets(count, 0), nodes)
+    after = all_subsets(make_targets(count + 1, 0), nodes)
+    context.subsets = list(zip(before, after, strict=True))
+
+
+@then("each subset changes by at most one target")
+def step_stable(context):
+    for before, after in context.subsets:
+        assert len(before - after) <= 1, (before, after)
