Size the subset of near targets by the near targets alone

Cause: the size was six nodes for each target of the whole service, divided by the nodes of one data centre: 20 of 40 near targets instead of 8. Change: near and far targets are counted apart, and the order of the targets is computed once for each list of targets.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/_subsets.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_subsets.py
@@ -35,11 +35,12 @@
     rest: list[TargetId]
 
 
-class _Cached(NamedTuple):
+class _Ranked(NamedTuple):
     targets: Mapping[TargetId, Target]
-    near_size: int
-    far_size: int
-    subset: Subset
+    near: list[TargetId]
+    far: list[TargetId]
+    node_counts: tuple[int, int] = (0, 0)
+    subset: Subset = Subset([], [], [])
 
 
 _DEFAULTS = SubsetSettings()
@@ -84,7 +85,7 @@
         self._near_nodes = near_nodes
         self._nodes = nodes
         self._settings = settings
-        self._cache: dict[ServiceId, _Cached] = {}
+        self._cache: dict[ServiceId, _Ranked] = {}
 
     def of(
         self, service: ServiceId, targets: Mapping[TargetId, Target]
@@ -96,43 +97,38 @@
             targets: All its usable targets; the same object as long as
                 nothing has changed.
         """
+        counts = max(1, self._near_nodes()), max(1, self._nodes())
+        cached = self._cache.get(service)
+        if cached is None or cached.targets is not targets:
+            cached = self._rank(targets)
+        elif cached.node_counts == counts:
+            return cached.subset
         settings = self._settings
-        count = len(targets)
-        near_size = max(
-            settings.near,
-            math.ceil(settings.coverage * count / max(1, self._near_nodes())),
+        near_size = _size(settings.near, settings, cached.near, counts[0])
+        far_size = _size(settings.far, settings, cached.far, counts[1])
+        subset = Subset(
+            cached.near[:near_size],
+            cached.far[:far_size],
+            cached.near[near_size:] + cached.far[far_size:],
         )
-        far_size = max(
-            settings.far,
-            math.ceil(settings.coverage * count / max(1, self._nodes())),
+        self._cache[service] = cached._replace(
+            node_counts=counts, subset=subset
         )
-        cached = self._cache.get(service)
-        if (
-            cached is not None
-            and cached.targets is targets
-            and cached.near_size == near_size
-            and cached.far_size == far_size
-        ):
-            return cached.subset
-        subset = self._choose(targets, near_size, far_size)
-        self._cache[service] = _Cached(targets, near_size, far_size, subset)
         return subset
 
-    def _choose(
-        self,
-        targets: Mapping[TargetId, Target],
-        near_size: int,
-        far_size: int,
-    ) -> Subset:
+    def _rank(self, targets: Mapping[TargetId, Target]) -> _Ranked:
         ranked = sorted(
             targets, key=lambda t: (placement_weight(self._node, t), t)
         )
-        near, far = [], []
+        near: list[TargetId] = []
+        far: list[TargetId] = []
         for target_id in ranked:
             is_near = targets[target_id].data_centre == self._data_centre
             (near if is_near else far).append(target_id)
-        return Subset(
-            near[:near_size],
-            far[:far_size],
-            near[near_size:] + far[far_size:],
-        )
+        return _Ranked(targets, near, far)
+
+
+def _size(
+    least: int, settings: SubsetSettings, among: list[TargetId], nodes: int
+) -> int:
+    return max(least, math.ceil(settings.coverage * len(among) / nodes))
