--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -107,6 +107,7 @@
         clock: Seconds of a monotonic clock that goes on while stopped.
         caller_socket: Socket that listens at the callers' address already,
             or None to open one.
+        began_s: When the process began, by ``clock``; None for now.
     """
 
     def __init__(
@@ -118,11 +119,13 @@
         rng: random.Random | None = None,
         clock: Callable[[], float] = boot_time_s,
         caller_socket: socket.socket | None = None,
+        began_s: float | None = None,
     ) -> None:
         self.settings = settings
         self._caller_socket = caller_socket
         self.clock = clock
         self.started_s = clock()
+        self._began_s = self.started_s if began_s is None else began_s
         self.counters = StatsdCounters(None)
         self._reactor = reactor
         self._platform = platform
@@ -310,6 +313,7 @@
                 "incarnation": self.peer.incarnation,
                 "data_centre": settings.data_centre,
                 "seeds": list(settings.seeds),
+                "start_ms": round((self.clock() - self._began_s) * 1000),
             },
         )
 
--- a/packages/egretrock-node/src/egretrock_node/gateway/_run.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_run.py
@@ -25,6 +25,7 @@
         load: Callable[[], GatewaySettings],
         platform: Platform,
         caller_socket: socket.socket | None,
+        began_s: float | None,
     ) -> None:
         self._reactor = reactor
         self._load = load
@@ -34,6 +35,7 @@
             platform,
             self._on_end,
             caller_socket=caller_socket,
+            began_s=began_s,
         )
         self.exit_code = 0
 
@@ -79,6 +81,7 @@
     load: Callable[[], GatewaySettings],
     make_platform: Callable[[], Platform],
     caller_socket: socket.socket | None = None,
+    began_s: float | None = None,
 ) -> int:
     """Runs a gateway until a planned stop is complete.
 
@@ -87,6 +90,7 @@
         load: Reads the settings, at the start and on SIGHUP.
         make_platform: Returns the adapters of the platform.
         caller_socket: Socket that listens at the callers' address already.
+        began_s: When the process began, in seconds since boot.
 
     Returns:
         Exit code: 0 after a graceful stop, 1 if requests were cut off.
@@ -97,4 +101,5 @@
     """
     with bounded_log_handler(LogBudget()).applicationbound():
         platform = make_platform()
-        return _Process(reactor, load, platform, caller_socket).run()
+        process = _Process(reactor, load, platform, caller_socket, began_s)
+        return process.run()
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/tests/steps/soak_steps.py
@@ -0,0 +1,197 @@
+import http.client
+import http.server
+import threading
+import time
+
+from behave import given, then, when
+
+from egretrock_standins.soak import (
+    Fault,
+    FaultKind,
+    LoopbackProxy,
+    Observations,
+    Outcome,
+    ProxyMode,
+    RequestRecord,
+    RunRecord,
+    SoakPlan,
+    check_run,
+    make_plan,
+)
+
+DRAIN_S = 2.0
+TIMEOUT_S = 0.5
+
+
+def request(outcome=Outcome.SERVED, request_id="r1", repeatable=False):
+    return RequestRecord(
+        request_id, 1, repeatable, "k1", 4.0, 4.5, outcome, 200
+    )
+
+
+def run(request_id="r1", at_s=4.1, target=0, key_seen=False):
+    return RunRecord(request_id, target, at_s, key_seen)
+
+
+def seen(requests=(), runs=(), unready=(), codes=(), withdrawn=()):
+    return Observations(requests, runs, unready, codes, withdrawn)
+
+
+def cut(kind, runs):
+    fault = Fault(kind, 1, 3.9, 1.0)
+    return [fault], seen([request(Outcome.CUT)], runs)
+
+
+CASES = {
+    "a caller gets the answer of another request": (
+        [],
+        seen([request(Outcome.MIXED)]),
+    ),
+    "a payout runs twice": ([], seen([request()], [run(), run()])),
+    "a payout is refused and has run": (
+        [],
+        seen([request(Outcome.REFUSED)], [run()]),
+    ),
+    "a target runs what nobody sent": ([], seen([], [run("other")])),
+    "a target sees a key": ([], seen([request()], [run(key_seen=True)])),
+    "a request is cut off at a gateway that stops as planned": cut(
+        FaultKind.STOP, [run()]
+    ),
+    "a target runs a request long after it was to leave": (
+        [Fault(FaultKind.TARGET_DRAINS, 0, 1.0, 5.0)],
+        seen([request()], [run()]),
+    ),
+    "a withdrawn key works": ([], seen(withdrawn=["gateway 1"])),
+    "a gateway stays away": ([], seen(unready=[2])),
+    "a planned stop ends with code 1": ([], seen(codes=[0, 1])),
+    "a request is cut off at a gateway that is killed": cut(
+        FaultKind.KILL, [run()]
+    ),
+    "a request is cut off before it ran": cut(FaultKind.STOP, []),
+    "a read runs twice": (
+        [],
+        seen([request(repeatable=True)], [run(), run()]),
+    ),
+}
+
+
+@given("a run in which {what}")
+def step_case(context, what):
+    faults, observed = CASES[what]
+    plan = SoakPlan(1, faults, 1.0, 10.0)
+    context.findings = check_run(plan, observed, DRAIN_S)
+
+
+@then('the finding is "{promise}"')
+def step_finding(context, promise):
+    (finding,) = context.findings
+    assert finding.promise == promise, finding
+    assert finding.cases
+
+
+@then("there is no finding")
+def step_no_finding(context):
+    assert not context.findings, context.findings
+
+
+@then("each of {count:d} seeds gives the same plan twice, and the plans differ")
+def step_plans(context, count):
+    plans = [make_plan(seed, 4, 4, 10.0) for seed in range(count)]
+    again = [make_plan(seed, 4, 4, 10.0) for seed in range(count)]
+    assert plans == again
+    assert len({tuple(plan.faults) for plan in plans}) == count
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *args):
+        """Writes no access log."""
+
+    def do_GET(self):
+        self.server.received += 1
+        self.send_response(200)
+        self.send_header("Content-Length", "0")
+        self.end_headers()
+
+
+@given("a server behind a proxy, and an open connection")
+def step_proxy(context):
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), Handler)
+    server.daemon_threads = True
+    server.received = 0
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    context.server = server
+    address = f"127.0.0.1:{server.server_address[1]}"
+    context.proxy = LoopbackProxy("127.0.0.1", address)
+    context.add_cleanup(context.proxy.close)
+    context.connection = connect(context)
+    assert ask(context.connection) == 200
+    server.received = 0
+
+
+def connect(context):
+    host, _, port = context.proxy.address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=TIMEOUT_S)
+    context.add_cleanup(connection.close)
+    return connection
+
+
+def ask(connection):
+    connection.request("GET", "/")
+    answer = connection.getresponse()
+    answer.read()
+    return answer.status
+
+
+@when("the proxy is set to {mode}")
+def step_mode(context, mode):
+    context.proxy.set_mode(ProxyMode[mode])
+
+
+@then("a request on the connection is answered")
+def step_answered(context):
+    assert ask(context.connection) == 200
+
+
+@then("a request on the connection is answered after {delay_s:g} s")
+def step_delayed(context, delay_s):
+    sent_s = time.monotonic()
+    assert ask(context.connection) == 200
+    assert time.monotonic() - sent_s >= delay_s
+
+
+def expect_silence(context):
+    try:
+        ask(context.connection)
+    except TimeoutError:
+        return
+    raise AssertionError("the request was answered")
+
+
+@then("a request on the connection is not answered")
+def step_silent(context):
+    expect_silence(context)
+    assert context.server.received == 0
+
+
+@then("a request on the connection is received, not answered")
+def step_one_way(context):
+    expect_silence(context)
+    assert context.server.received == 1
+
+
+@then("a request on the connection breaks")
+def step_breaks(context):
+    try:
+        ask(context.connection)
+    except (OSError, http.client.HTTPException):
+        return
+    raise AssertionError("the request was answered")
+
+
+@then("a request on a new connection is answered")
+def step_new(context):
+    assert ask(connect(context)) == 200
