Search random schedules; mend what it found in the rates of organisations

A search in virtual time plays seeded schedules of kills, planned stops, freezes, cuts, one-way cuts, loss, repeats, store outages and wall clock steps at 16 nodes, while one organisation sends six times its rate.

--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
@@ -44,6 +44,8 @@
             news than travel with its pings.
         news_count: Records that travel with a message.
         helpers: Members asked to ping one that does not answer.
+        stop_s: Seconds for which a member that stops as planned may go on
+            serving.
         far: Members of other data centres pinged in each round, besides all
             of the own one. A large fleet keeps most pings inside its data
             centres, where a member is missed first.
@@ -59,6 +61,7 @@
     compare_per_s: float = 200.0
     news_count: int = 6
     helpers: int = 2
+    stop_s: float = 6.0
     far: int = 12
 
 
@@ -103,6 +106,8 @@
 _WHOLE = 0
 #: Earlier processes of an address that are remembered.
 _MAX_ENDED = 7
+#: Seconds from the start for which a node learns of members that are gone.
+_JOINING_S = 2.0
 #: Weight of the newest ping in the share of pings that were answered.
 _PING_WEIGHT = 0.4
 _HERE = (MemberState.ALIVE, MemberState.SUSPECT)
@@ -153,9 +158,12 @@
         self._waiting: dict[int, _Waiting] = {}
         self._relayed: dict[int, _Relayed] = {}
         self._answered = 1.0
+        self._stopping: dict[NodeId, float] = {}
         self._next_number = 0
         self._ping_s = now_s
         self._seek_s = now_s
+        self._started_s = now_s
+        self._is_new = True
         self._compare_s = now_s
         self._doubted: set[NodeId] = set()
         self._changes: list[MemberRecord] = []
@@ -208,16 +216,32 @@
         """Returns the size of the fleet, with members lost of late."""
         return self._view().known
 
-    def reachable_share(self) -> float:
+    def serving_count(self) -> int:
+        """Returns the nodes that may serve: those known and those that stop."""
+        return self._view().known + len(self._stopping)
+
+    def reachable_share(self, assumed_nodes: int = 1) -> float:
         """Returns the share of the known fleet that this node reaches.
 
         Members are given up one by one. The share of pings that were
         answered of late shows within a few pings that most are out of reach.
+
+        Args:
+            assumed_nodes: Least size of the fleet that a new process counts
+                with while most of its seeds do not answer: it may have
+                started behind a partition.
         """
         known = self.known_count()
+        if self._is_new and not self._reaches_seeds():
+            known = max(known, assumed_nodes)
         alive = len(self.alive_nodes()) / known
         return min(alive, max(self._answered, 1 / known))
 
+    def _reaches_seeds(self) -> bool:
+        alive = self.alive_nodes()
+        reached = sum(seed in alive for seed in self._seeds)
+        return 2 * reached >= len(self._seeds)
+
     @property
     def is_leaving(self) -> bool:
         """Whether this node has said that it stops."""
@@ -267,6 +291,7 @@
         """Sends the pings that are due and follows up on silent members."""
         out = self._follow_up(now_s)
         self._forget(now_s)
+        self._is_new = now_s - self._started_s < self._settings.remember_s
         if now_s >= self._seek_s:
             out += self._seek(now_s)
         for node in sorted(self._doubted & self.alive_nodes()):
@@ -437,6 +462,9 @@
 
     def _forget(self, now_s: float) -> None:
         settings = self._settings
+        for node, until_s in list(self._stopping.items()):
+            if now_s >= until_s:
+                del self._stopping[node]
         for node, member in list(self._members.items()):
             age_s = now_s - member.changed_s
             state = member.record.state
@@ -458,7 +486,7 @@
         for record in news:
             if record.node == self.node:
                 self._refute(record)
-            elif self._is_newer(record):
+            elif self._is_newer(record, now_s):
                 self._set(record, now_s, spreads)
 
     def _merge_own(
@@ -518,11 +546,14 @@
             ),
         )
 
-    def _is_newer(self, record: MemberRecord) -> bool:
+    def _is_newer(self, record: MemberRecord, now_s: float) -> bool:
         member = self._members.get(record.node)
         if member is None:
-            # News of members that are gone would bring them back for ever.
-            return record.state in _HERE
+            # News of members that are gone would bring them back for ever. A
+            # process that starts behind a partition must count them, though.
+            is_joining = now_s - self._started_s < _JOINING_S
+            is_lost = record.state is MemberState.GONE
+            return record.state in _HERE or (is_joining and is_lost)
         known = member.record
         if record.incarnation != known.incarnation:
             if record.incarnation in member.ended:
@@ -559,6 +590,11 @@
                     {known.record.incarnation, *list(ended)[:_MAX_ENDED]}
                 ) - {record.incarnation}
         self._members[record.node] = Member(record, now_s, sends, ended)
+        if record.state is MemberState.LEFT:
+            self._stopping[record.node] = now_s + self._settings.stop_s
+        else:
+            # Its next process is there, so the one that stopped has ended.
+            self._stopping.pop(record.node, None)
         self._cached = None
 
     def _news(self) -> list[MemberRecord]:
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_messages.py
@@ -18,7 +18,7 @@
     count: int
 
 
-class TokenAnswer(Message, frozen=True, tag="quota.answer"):
+class TokenAnswer(Message, frozen=True, omit_defaults=True, tag="quota.answer"):
     """Tokens that the home has deducted from its bucket.
 
     Attributes:
@@ -26,12 +26,14 @@
         number: Number of the ask.
         count: Tokens given; 0 where there are none.
         wait_ms: Milliseconds until the home expects to have one.
+        is_home: Whether the sender takes itself for the home.
     """
 
     organisation: OrganisationId
     number: int
     count: int
     wait_ms: int
+    is_home: bool = True
 
 
 class TokenHandOver(Message, frozen=True, tag="quota.hand_over"):
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
@@ -100,6 +100,7 @@
     def __init__(self, now_s: float) -> None:
         self.local = _Bucket(now_s)
         self.pool: _Bucket | None = None
+        self.pool_reach = 0.0
         self.handed = 0.0
         self.handed_until_s = now_s
         self.granted = 0
@@ -128,6 +129,11 @@
 #: Seconds for which a node that does not know yet that it is the home keeps
 #: the tokens of the home before it.
 _HANDED_S = 1.0
+#: Seconds for which a home that has handed its tokens over is passed over; by
+#: then the members know that it leaves.
+_MOVED_S = 1.0
+#: Seconds for which a node that says that it is not the home is not asked.
+_NOT_HOME_S = 0.25
 #: Senders of handed tokens whose last message is remembered.
 _MAX_HANDED = 256
 
@@ -168,6 +174,7 @@
         self._homes_view: frozenset[NodeId] = frozenset()
         self._last_homes: dict[OrganisationId, NodeId | None] = {}
         self._handed: dict[Peer, int] = {}
+        self._left: dict[NodeId, float] = {}
 
     # RatePort.
 
@@ -270,6 +277,10 @@
         for node, until_s in list(self._suspects.items()):
             if now_s >= until_s:
                 del self._suspects[node]
+        for node, until_s in list(self._left.items()):
+            if now_s >= until_s:
+                del self._left[node]
+                self._homes.clear()
         while len(self._handed) > _MAX_HANDED:
             del self._handed[next(iter(self._handed))]
         for account in self._accounts.values():
@@ -303,9 +314,12 @@
             # The asker took a lost message for a lost home. Tokens of a
             # second home would come on top of those of the first.
             self._counters.increment("quota.not_home")
-            wait_ms = round(self._settings.ask_s * 1000)
-            answer = TokenAnswer(body.organisation, body.number, 0, wait_ms)
-            return [Outbound(sender.node, answer)]
+            answer = TokenAnswer(
+                body.organisation, body.number, 0, 0, is_home=False
+            )
+            # Before the answer, so that the asker finds the next home ready.
+            moved = self._open_pools(now_s)
+            return [*moved, Outbound(sender.node, answer)]
         if account.pool is None:
             self._open_pool(body.organisation, account, now_s)
         rate_per_s = self._refill_pool(account, limits, now_s)
@@ -339,7 +353,10 @@
         account.basis_s = now_s
         self._suspects.pop(sender.node, None)
         self._silences.pop(sender.node, None)
-        if body.count:
+        if not body.is_home:
+            # It has just left, or this node lags behind; the next one knows.
+            self._suspects[sender.node] = now_s + _NOT_HOME_S
+        elif body.count:
             if now_s >= account.granted_until_s:
                 account.granted = 0
             account.granted += body.count
@@ -356,6 +373,9 @@
         if account is None or body.number <= self._handed.get(sender, 0):
             return []
         self._handed[sender] = body.number
+        if sender.node == self._placed_home(body.organisation):
+            self._left[sender.node] = now_s + _MOVED_S
+            self._homes.clear()
         # This node may not know yet that it is the home.
         if now_s >= account.handed_until_s:
             account.handed = 0.0
@@ -377,7 +397,7 @@
         self, account: _Account, limits: Organisation, now_s: float
     ) -> None:
         settings = self._settings
-        nodes = self._membership.known_count()
+        nodes = self._membership.serving_count()
         if nodes == 1 and len(self._membership.alive_nodes()) == 1:
             nodes = settings.assumed_nodes
         rate_per_s = limits.rate_per_s * settings.local_ratio / nodes
@@ -398,12 +418,15 @@
     ) -> float:
         """Fills the pool of a home; returns the rate at which it fills."""
         settings = self._settings
-        reach = self._membership.reachable_share()
-        rate_per_s = limits.rate_per_s * settings.pooled_ratio * reach
+        reach = self._membership.reachable_share(settings.assumed_nodes)
+        rate_per_s = limits.rate_per_s * settings.pooled_ratio
         size = limits.burst * settings.pooled_ratio
         size = max(1.0, (size + settings.slack) * reach)
-        account.pool.refill(rate_per_s, size, now_s)
-        return rate_per_s
+        # The time since the last refill counts with what was reached then.
+        since = min(reach, account.pool_reach)
+        account.pool_reach = reach
+        account.pool.refill(rate_per_s * since, size, now_s)
+        return rate_per_s * reach
 
     def _open_pools(self, now_s: float) -> list[Outbound]:
         """Starts to fill the pools of the organisations at home here.
@@ -414,10 +437,12 @@
         out = []
         for organisation, account in self._accounts.items():
             home = self._placed_home(organisation)
+            limits = self._organisation_of(organisation)
             if home == self._membership.node:
                 self._open_pool(organisation, account, now_s)
+                if limits is not None:
+                    self._refill_pool(account, limits, now_s)
             elif account.pool is not None:
-                limits = self._organisation_of(organisation)
                 if limits is not None and home is not None:
                     self._refill_pool(account, limits, now_s)
                     self._next_number += 1
@@ -436,6 +461,9 @@
             return
         before = self._last_homes.get(organisation)
         account.pool = _Bucket(now_s - self._credit_s(before, now_s))
+        account.pool_reach = self._membership.reachable_share(
+            self._settings.assumed_nodes
+        )
         self._take_handed(account, now_s)
 
     @staticmethod
@@ -474,6 +502,7 @@
             self._homes_view = alive
             self._homes.clear()
         if organisation not in self._homes:
+            alive = alive - self._left.keys()
             if self._membership.is_leaving:
                 # Its place is taken, although it serves on.
                 alive = alive - {self._membership.node}
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -188,7 +188,7 @@
             rng,
             settings.choice,
             counters,
-            self.membership.known_count,
+            self.membership.serving_count,
             self._on_probes_due,
         )
         self.queue = FairQueue(
@@ -471,7 +471,7 @@
         del service
         budget = self.settings.retries
         nodes = max(
-            self.membership.known_count(), self.settings.quota.assumed_nodes
+            self.membership.serving_count(), self.settings.quota.assumed_nodes
         )
         return RetryProfile(
             budget_ratio=0.7 * budget.ratio,
--- /dev/null
+++ b/packages/egretrock-standins/src/egretrock_standins/search/__main__.py
@@ -0,0 +1,42 @@
+"""Searches seeds: ``python -m egretrock_standins.search --seeds 200``."""
+
+import concurrent.futures
+import functools
+import sys
+
+import cyclopts
+
+from egretrock_standins.search import play
+
+
+def main(
+    seeds: int = 100,
+    first_seed: int = 1,
+    nodes: int = 16,
+    span_s: float = 10.0,
+    jobs: int = 2,
+) -> None:
+    """Plays seeds and prints the schedules of those that break a bound."""
+    numbers = range(first_seed, first_seed + seeds)
+    play_one = functools.partial(play, nodes=nodes, span_s=span_s)
+    failed = []
+    with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
+        for result in pool.map(play_one, numbers):
+            if not result.broken:
+                continue
+            failed.append(result.seed)
+            print(f"seed {result.seed}")
+            for event in result.events:
+                end_s = event.at_s + event.for_s
+                print(
+                    f"  {event.at_s:5.2f} to {end_s:5.2f} s"
+                    f" {event.kind.value} {list(event.nodes)}"
+                )
+            for broken in result.broken:
+                print(f"  BROKEN: {broken.bound}: {broken.seen}")
+    print(f"{seeds} seeds from {first_seed}: {len(failed)} failed {failed}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    cyclopts.run(main)
