Split the directory, the chooser and the rates into smaller modules

Settings, the assembly of parts, the choice of readers, rounds with their budget of probes, and accounts have modules of their own.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
@@ -3,18 +3,18 @@
 Entries are opaque here: a key, a value and the revision of its last change.
 """
 
-from egretrock.coordination.directory._directory import (
-    Directory,
-    DirectorySettings,
-    ReadKind,
-    ReadOrder,
-)
+from egretrock.coordination.directory._directory import Directory
 from egretrock.coordination.directory._messages import (
     DIRECTORY_MESSAGES,
     Change,
     News,
     Want,
 )
+from egretrock.coordination.directory._settings import (
+    DirectorySettings,
+    ReadKind,
+    ReadOrder,
+)
 
 __all__ = [
     "DIRECTORY_MESSAGES",
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -1,7 +1,6 @@
 """The directory of one node: who reads it, who is told, how old it is."""
 
 import collections
-import enum
 import random
 from collections.abc import Callable, Mapping, Sequence
 from functools import singledispatchmethod
@@ -14,8 +13,8 @@
     NullCounters,
     Outbound,
     Peer,
-    placement_weight,
 )
+from egretrock.coordination.directory._assembly import Assembly
 from egretrock.coordination.directory._messages import (
     Change,
     News,
@@ -24,84 +23,23 @@
     pack,
     unpack,
 )
+from egretrock.coordination.directory._readers import choose_readers
 from egretrock.coordination.directory._relay import Relay
+from egretrock.coordination.directory._settings import (
+    DirectorySettings,
+    ReadKind,
+    ReadOrder,
+)
 from egretrock.coordination.gossip import MemberRecord
 from egretrock.state.ids import NodeId, Revision
 
 
-class DirectorySettings(msgspec.Struct, frozen=True):
-    """Times of the directory.
-
-    Attributes:
-        readers: Nodes that read for the fleet.
-        watch_s: Longest wait of a read for changes. A read that is cut off
-            in silence is noticed only after it.
-        pause_s: Pause of a reader between two reads, so that changes that
-            come together are told together.
-        stale_s: Age above which a node that is not a reader reads for itself.
-        retry_s: Pause of a reader after a failed read.
-        own_retry_s: The same for other nodes, doubled up to 4 times.
-        want_s: Seconds between two questions for what a node has missed.
-        first_read_s: Seconds from the start for which a node asks its peers
-            before it reads everything itself; a fleet that starts at once
-            would read once a node otherwise.
-        first_want_s: Seconds between two such questions.
-        outage_s: Age that counts as an outage of the platform.
-        hold_s: Seconds after the end of an outage for which entries that
-            went missing in it are kept; targets that live register again
-            within that time.
-        log_size: Changes kept for nodes that have missed some.
-    """
-
-    readers: int = 2
-    watch_s: float = 0.5
-    pause_s: float = 0.03
-    stale_s: float = 0.9
-    retry_s: float = 0.15
-    own_retry_s: float = 0.4
-    want_s: float = 0.25
-    first_read_s: float = 0.6
-    first_want_s: float = 0.05
-    outage_s: float = 1.4
-    hold_s: float = 2.2
-    log_size: int = 500
-
-
-class ReadKind(enum.Enum):
-    """What to read from the platform."""
-
-    WHOLE = "whole"
-    CHANGES = "changes"
-
-
-class ReadOrder(msgspec.Struct, frozen=True):
-    """A read that the node shall make.
-
-    Attributes:
-        kind: What to read.
-        after: Revision after which changes are wanted.
-        wait_s: Seconds that the platform may wait for a change.
-    """
-
-    kind: ReadKind
-    after: Revision = Revision(0)
-    wait_s: float = 0.0
-
-
 class _Entry(msgspec.Struct, frozen=True):
     revision: Revision
     value: bytes
 
 
-class _Partial(msgspec.Struct):
-    parts: dict[int, bytes]
-    started_s: float
-
-
 _DEFAULTS = DirectorySettings()
-#: Messages of which some parts are missing, over all senders.
-_MAX_PARTIAL = 32
-_PARTIAL_S = 1.0
 #: Share of the questions of a new node that go to its own data centre.
 _NEAR_SHARE = 0.7
 
@@ -157,7 +95,7 @@
         self._told_s = float("-inf")
         # A process that follows another one must not repeat its numbers.
         self._number = rng.getrandbits(48)
-        self._partial: dict[tuple[NodeId, int], _Partial] = {}
+        self._assembly = Assembly(self._counters)
         self.generation = 0
 
     # What is known.
@@ -192,33 +130,9 @@
         if members is self._ranked_members:
             return self._readers
         self._ranked_members = members
-        self._readers = self._choose_readers(members)
+        self._readers = choose_readers(members, self._settings.readers)
         return self._readers
 
-    def _choose_readers(self, members: Sequence[MemberRecord]) -> list[NodeId]:
-        ranked = sorted(
-            members,
-            key=lambda record: (
-                not record.reads_store,
-                placement_weight("reader", record.node),
-                record.node,
-            ),
-        )
-        chosen: list[MemberRecord] = []
-        for is_spread in (True, False):
-            for record in ranked:
-                if len(chosen) >= self._settings.readers:
-                    break
-                taken = {r.data_centre for r in chosen}
-                if record in chosen:
-                    continue
-                if is_spread and record.data_centre in taken:
-                    continue
-                if is_spread and not record.reads_store and chosen:
-                    continue
-                chosen.append(record)
-        return [record.node for record in chosen]
-
     def is_reader(self) -> bool:
         """Returns whether this node reads for the fleet."""
         return self._node in self.readers()
@@ -327,9 +241,7 @@
             if now_s >= until_s:
                 del self._held[key]
                 self.generation += 1
-        for key, partial in list(self._partial.items()):
-            if now_s - partial.started_s > _PARTIAL_S:
-                del self._partial[key]
+        self._assembly.expire(now_s)
         if now_s < self._want_s:
             return []
         missed, self._missed_from = self._missed_from, None
@@ -380,7 +292,7 @@
         passed_on = self._pass_on(body)
         if body.until < self._revision:
             return passed_on
-        parts = self._collect(sender, body, now_s)
+        parts = self._assembly.add(sender, body, now_s)
         if parts is None:
             return passed_on
         return passed_on + self._take_news(sender, body, parts, now_s)
@@ -542,22 +454,3 @@
             for node in nodes
             for part, piece in enumerate(pieces)
         ]
-
-    def _collect(
-        self, sender: Peer, body: News, now_s: float
-    ) -> list[bytes] | None:
-        """Returns all parts of a message once they are here."""
-        if body.parts == 1:
-            return [body.data]
-        key = (body.origin or sender.node, body.number)
-        partial = self._partial.get(key)
-        if partial is None:
-            if len(self._partial) >= _MAX_PARTIAL:
-                self._counters.increment("directory.partial_dropped")
-                self._partial.clear()
-            partial = self._partial[key] = _Partial({}, now_s)
-        partial.parts[body.part] = body.data
-        if len(partial.parts) < body.parts:
-            return None
-        del self._partial[key]
-        return [partial.parts[part] for part in range(body.parts)]
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/__init__.py
@@ -6,11 +6,7 @@
 of nodes.
 """
 
-from egretrock.coordination.gossip._membership import (
-    GossipSettings,
-    Member,
-    Membership,
-)
+from egretrock.coordination.gossip._membership import Member, Membership
 from egretrock.coordination.gossip._messages import (
     GOSSIP_MESSAGES,
     Ack,
@@ -19,6 +15,7 @@
     Ping,
     PingRequest,
 )
+from egretrock.coordination.gossip._settings import GossipSettings
 
 __all__ = [
     "GOSSIP_MESSAGES",
--- a/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
@@ -5,7 +5,6 @@
 """
 
 from egretrock.coordination.probing._chooser import (
-    ChoiceSettings,
     ServiceView,
     TargetChooser,
 )
@@ -13,6 +12,7 @@
     LoadProbe,
     LoadReading,
 )
+from egretrock.coordination.probing._settings import ChoiceSettings
 from egretrock.coordination.probing._subsets import (
     Subset,
     SubsetSettings,
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -1,12 +1,9 @@
 """Rounds of probes, and the permits that come of them."""
 
-import collections
 import itertools
 import random
 from collections.abc import Callable, Mapping, Sequence
 
-import msgspec
-
 from egretrock.coordination.base import Counters, NullCounters, Outbound
 from egretrock.coordination.probing._readings import (
     Candidate,
@@ -14,6 +11,8 @@
     LoadReading,
     TargetMemory,
 )
+from egretrock.coordination.probing._rounds import Demand, Round, Ticket
+from egretrock.coordination.probing._settings import ChoiceSettings
 from egretrock.coordination.probing._subsets import TargetSubsets
 from egretrock.coordination.targets import (
     Assignment,
@@ -43,84 +42,7 @@
 )
 
 
-class ChoiceSettings(msgspec.Struct, frozen=True):
-    """Bounds of the choice.
-
-    Attributes:
-        near: Targets of the own data centre asked first.
-        far: Targets of other data centres asked where none of the near ones
-            is idle.
-        least: Targets asked at a time when the budget of probes runs short.
-        good_cost: Cost up to which a target is taken without asking or
-            waiting further; 1 is an idle target at its usual pace.
-        probe_timeout_s: Seconds after which a probe counts as unanswered.
-        wait_s: Seconds that a round waits for answers once one is here.
-        longest_wait_s: Seconds that a round waits where none is here.
-        retry_s: Seconds between two rounds while no target has room.
-        permit_s: Seconds for which a reading may be acted on.
-        recent_s: Age up to which the last reading of a target counts for
-            which targets are asked.
-        max_rounds: Rounds of one service at the same time.
-        max_waiting_ratio: Requests that may wait at a target, per slot.
-        probes_per_target_s: Probes a second of one target by the whole
-            fleet. Beyond them a node chooses by its last readings.
-        unprobed_choices: Targets compared in that case; more would send all
-            nodes to the same one.
-    """
-
-    near: int = 4
-    far: int = 5
-    least: int = 2
-    good_cost: float = 1.3
-    probe_timeout_s: float = 0.25
-    wait_s: float = 0.012
-    longest_wait_s: float = 0.06
-    retry_s: float = 0.015
-    permit_s: float = 0.5
-    recent_s: float = 0.1
-    max_rounds: int = 8
-    max_waiting_ratio: float = 1.0
-    probes_per_target_s: float = 40.0
-    unprobed_choices: int = 3
-
-
 _DEFAULTS = ChoiceSettings()
-#: Seconds of the budget of probes that may be saved up.
-_SAVED_S = 1.0
-
-
-class _Ticket(msgspec.Struct):
-    service: ServiceId
-    excluded: frozenset[TargetId]
-    deadline_s: float
-
-
-class _Round:
-    """Probes sent for the requests of one service."""
-
-    def __init__(self, service: ServiceId, now_s: float) -> None:
-        self.service = service
-        self.started_s = now_s
-        self.first_answer_s: float | None = None
-        self.pending: set[int] = set()
-        self.asked: set[TargetId] = set()
-        self.found: dict[TargetId, Candidate] = {}
-        self.asked_far = False
-        self.is_over = False
-
-
-class _Demand:
-    """Requests that wait for a target of one service."""
-
-    def __init__(self) -> None:
-        self.tickets: collections.OrderedDict[TicketId, _Ticket] = (
-            collections.OrderedDict()
-        )
-        self.rounds: list[_Round] = []
-        self.next_round_s = 0.0
-        self.probe_tokens = 0.0
-        self.probe_level = 1.0
-        self.refilled_s: float | None = None
 
 
 class TargetChooser:
@@ -159,10 +81,10 @@
         self._rng = rng
         self.settings = settings
         self._counters = counters or NullCounters()
-        self._demands: dict[ServiceId, _Demand] = {}
+        self._demands: dict[ServiceId, Demand] = {}
         self._service_of: dict[TicketId, ServiceId] = {}
         self._memory: dict[TargetId, TargetMemory] = {}
-        self._probes: dict[int, tuple[_Round, float]] = {}
+        self._probes: dict[int, tuple[Round, float]] = {}
         self._numbers = itertools.count(1)
         self._unsent: list[LoadProbe] = []
         self._assignments: list[Assignment] = []
@@ -180,8 +102,8 @@
     ) -> list[Outbound]:
         """Asks for a target for one waiting request."""
         del organisation
-        demand = self._demands.setdefault(service, _Demand())
-        demand.tickets[ticket] = _Ticket(service, excluded, deadline_s)
+        demand = self._demands.setdefault(service, Demand())
+        demand.tickets[ticket] = Ticket(service, excluded, deadline_s)
         self._service_of[ticket] = service
         self._start_rounds(service, demand, now_s)
         return []
@@ -277,19 +199,20 @@
     # Rounds.
 
     def _start_rounds(
-        self, service: ServiceId, demand: _Demand, now_s: float
+        self, service: ServiceId, demand: Demand, now_s: float
     ) -> None:
         """Keeps as many rounds going as requests wait, within the bound."""
         wanted = min(len(demand.tickets), self.settings.max_rounds)
         while len(demand.rounds) < wanted and now_s >= demand.next_round_s:
             targets = self._targets_of(service)
-            self._refill(demand, len(targets), now_s)
-            if demand.probe_tokens < 1.0 and self._assign_unprobed(
+            rate_per_s = self.settings.probes_per_target_s * len(targets)
+            demand.budget.refill(rate_per_s / self._node_count(), now_s)
+            if demand.budget.tokens < 1.0 and self._assign_unprobed(
                 service, demand, now_s
             ):
                 wanted = min(len(demand.tickets), self.settings.max_rounds)
                 continue
-            round_ = _Round(service, now_s)
+            round_ = Round(service, now_s)
             demand.rounds.append(round_)
             near = self._subsets.of(service, targets).near
             if not self._ask(round_, [near], self.settings.near, now_s):
@@ -298,7 +221,7 @@
                 self._end(round_, now_s)
 
     def _assign_unprobed(
-        self, service: ServiceId, demand: _Demand, now_s: float
+        self, service: ServiceId, demand: Demand, now_s: float
     ) -> bool:
         """Gives the next request a target by the last readings.
 
@@ -307,7 +230,7 @@
         """
         rounds = len(demand.rounds)
         ticket_id, ticket = list(demand.tickets.items())[rounds]
-        round_ = _Round(service, now_s)
+        round_ = Round(service, now_s)
         targets = list(self._targets_of(service))
         self._rng.shuffle(targets)
         for target_id in targets:
@@ -331,7 +254,7 @@
         self._assign(ticket_id, ticket, best, round_, now_s)
         return True
 
-    def _ask_far(self, round_: _Round, now_s: float) -> None:
+    def _ask_far(self, round_: Round, now_s: float) -> None:
         round_.asked_far = True
         service = round_.service
         tiers = self._subsets.of(service, self._targets_of(service))
@@ -339,7 +262,7 @@
 
     def _ask(
         self,
-        round_: _Round,
+        round_: Round,
         tiers: Sequence[list[TargetId]],
         count: int,
         now_s: float,
@@ -352,16 +275,16 @@
         """
         targets = self._targets_of(round_.service)
         ready, resting = self._sort_tiers(round_, tiers, now_s)
-        demand = self._demands[round_.service]
+        budget = self._demands[round_.service].budget
         # A budget that runs short gives every request fewer probes, which is
         # better than many for some and none for others.
-        count = max(self.settings.least, round(count * demand.probe_level))
+        count = max(self.settings.least, round(count * budget.level))
         sent = False
         for target_id in (ready + resting)[:count]:
-            if demand.probe_tokens < 1.0 and (sent or round_.asked):
+            if budget.tokens < 1.0 and (sent or round_.asked):
                 self._counters.increment("probes.saved")
                 break
-            demand.probe_tokens -= 1.0
+            budget.tokens -= 1.0
             sent = True
             number = next(self._numbers)
             round_.pending.add(number)
@@ -382,7 +305,7 @@
         return sent
 
     def _sort_tiers(
-        self, round_: _Round, tiers: Sequence[list[TargetId]], now_s: float
+        self, round_: Round, tiers: Sequence[list[TargetId]], now_s: float
     ) -> tuple[list[TargetId], list[TargetId]]:
         """Returns the targets to ask: those in good state, and the others."""
         left_out = self._excluded(round_.service) | round_.asked
@@ -403,20 +326,6 @@
             resting += poor
         return ready, resting
 
-    def _refill(self, demand: _Demand, targets: int, now_s: float) -> None:
-        """Adds the probes that the budget allows since the last call."""
-        rate_per_s = self.settings.probes_per_target_s * targets
-        rate_per_s /= self._node_count()
-        since_s = demand.refilled_s
-        size = max(1.0, rate_per_s * _SAVED_S)
-        if since_s is None:
-            demand.probe_tokens = size
-        else:
-            grown = demand.probe_tokens + (now_s - since_s) * rate_per_s
-            demand.probe_tokens = min(size, grown)
-        demand.probe_level = max(0.0, demand.probe_tokens) / size
-        demand.refilled_s = now_s
-
     def _excluded(self, service: ServiceId) -> frozenset[TargetId]:
         """Returns the targets that no waiting request may go to."""
         tickets = self._demands[service].tickets.values()
@@ -444,7 +353,7 @@
 
     def _add_candidate(
         self,
-        round_: _Round,
+        round_: Round,
         target_id: TargetId,
         memory: TargetMemory,
         now_s: float,
@@ -468,12 +377,12 @@
         reading = candidate.reading = memory.reading
         candidate.busy = reading.running + reading.waiting + memory.unseen()
 
-    def _ends_s(self, round_: _Round) -> float:
+    def _ends_s(self, round_: Round) -> float:
         if round_.first_answer_s is not None:
             return round_.first_answer_s + self.settings.wait_s
         return round_.started_s + self.settings.longest_wait_s
 
-    def _advance(self, round_: _Round, now_s: float) -> None:
+    def _advance(self, round_: Round, now_s: float) -> None:
         """Ends a round, or widens it, once its answers are here."""
         if round_.is_over:
             return
@@ -486,7 +395,7 @@
                 return
         self._end(round_, now_s)
 
-    def _is_near_known(self, round_: _Round, now_s: float) -> bool:
+    def _is_near_known(self, round_: Round, now_s: float) -> bool:
         """Returns whether the near targets have shown that they will not do.
 
         The first answer is enough: the others would take as long as those of
@@ -495,7 +404,7 @@
         answered = round_.first_answer_s is not None
         return answered or not round_.pending or now_s >= self._ends_s(round_)
 
-    def _has_good(self, round_: _Round) -> bool:
+    def _has_good(self, round_: Round) -> bool:
         for candidate in round_.found.values():
             self._refresh(candidate)
             is_good = candidate.cost() <= self.settings.good_cost
@@ -510,7 +419,7 @@
         named = reading.instance
         return named is None or named == candidate.id
 
-    def _end(self, round_: _Round, now_s: float) -> None:
+    def _end(self, round_: Round, now_s: float) -> None:
         """Gives the targets found to the requests that wait."""
         round_.is_over = True
         demand = self._demands[round_.service]
@@ -547,9 +456,9 @@
     def _assign(
         self,
         ticket_id: TicketId,
-        ticket: _Ticket,
+        ticket: Ticket,
         chosen: Candidate,
-        round_: _Round,
+        round_: Round,
         now_s: float,
     ) -> None:
         del self._demands[ticket.service].tickets[ticket_id]
@@ -568,7 +477,7 @@
         )
         self._assignments.append(Assignment(ticket_id, permit))
 
-    def _basis(self, chosen: Candidate, round_: _Round, now_s: float) -> str:
+    def _basis(self, chosen: Candidate, round_: Round, now_s: float) -> str:
         """Returns the readings that the choice rests on, for the log."""
         age_ms = (now_s - self._memory[chosen.id].read_s) * 1000
         reading = chosen.reading
--- a/packages/egretrock-core/src/egretrock/coordination/quota/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/__init__.py
@@ -4,11 +4,10 @@
     QUOTA_MESSAGES,
     TokenAnswer,
     TokenAsk,
+    TokenHandOver,
 )
-from egretrock.coordination.quota._pooled import (
-    PooledRates,
-    QuotaSettings,
-)
+from egretrock.coordination.quota._pooled import PooledRates
+from egretrock.coordination.quota._settings import QuotaSettings
 
 __all__ = [
     "QUOTA_MESSAGES",
@@ -16,4 +15,5 @@
     "QuotaSettings",
     "TokenAnswer",
     "TokenAsk",
+    "TokenHandOver",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
@@ -15,7 +15,6 @@
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
-import msgspec
 from expression import Error, Ok, Result
 
 from egretrock.coordination.base import (
@@ -27,96 +26,20 @@
     rendezvous_first,
 )
 from egretrock.coordination.gossip import Membership
+from egretrock.coordination.quota._accounts import Account, Bucket
 from egretrock.coordination.quota._messages import (
     TokenAnswer,
     TokenAsk,
     TokenHandOver,
 )
+from egretrock.coordination.quota._settings import QuotaSettings
 from egretrock.state.config import UNLIMITED_PER_S, Organisation
 from egretrock.state.ids import NodeId, OrganisationId
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 
-
-class QuotaSettings(msgspec.Struct, frozen=True):
-    """How a rate is divided.
-
-    Attributes:
-        local_ratio: Part of a rate that the nodes divide among themselves.
-        pooled_ratio: Part of a rate that the home hands out. Both parts may
-            add up to more than 1 where the bound has an overage.
-        slack: Requests beyond the burst that a home may hand out.
-        local_slack: Requests beyond the burst that the nodes divide, so that
-            a quiet node can admit a first request without its home.
-        ask_s: Seconds for which an answer is awaited.
-        tokens_s: Seconds for which tokens of an answer may be used.
-        ahead_s: Seconds of the node's own demand that an ask covers.
-        suspect_s: Seconds for which a silent home is passed over.
-        longest_wait_s: Longest time that the home may name until it has a
-            token, for which a request waits and is not refused.
-        credit_s: Seconds of the rate that a new home hands out at once; it
-            counts what was not used while no home was known.
-        assumed_nodes: Size of the fleet that a node assumes while it knows
-            no other node.
-    """
-
-    local_ratio: float = 0.15
-    pooled_ratio: float = 0.95
-    slack: float = 0.0
-    local_slack: float = 0.0
-    ask_s: float = 0.06
-    tokens_s: float = 0.4
-    ahead_s: float = 0.15
-    suspect_s: float = 1.0
-    longest_wait_s: float = 0.12
-    credit_s: float = 0.0
-    assumed_nodes: int = 10
-
-
 _DEMAND_WINDOW_S = 1.0
 
 
-class _Bucket:
-    """A token bucket whose rate and size may change at any time."""
-
-    def __init__(self, now_s: float) -> None:
-        self.tokens = 0.0
-        self._updated_s = now_s
-
-    def refill(self, rate_per_s: float, size: float, now_s: float) -> None:
-        passed_s = max(0.0, now_s - self._updated_s)
-        self._updated_s = max(now_s, self._updated_s)
-        self.tokens = min(size, self.tokens + passed_s * rate_per_s)
-
-    def take(self, count: float) -> bool:
-        if self.tokens < count:
-            return False
-        self.tokens -= count
-        return True
-
-
-class _Account:
-    """What a node holds for one organisation."""
-
-    def __init__(self, now_s: float) -> None:
-        self.local = _Bucket(now_s)
-        self.pool: _Bucket | None = None
-        self.pool_reach = 0.0
-        self.handed = 0.0
-        self.handed_until_s = now_s
-        self.granted = 0
-        self.granted_until_s = now_s
-        self.asked_s: float | None = None
-        self.asked_number = 0
-        self.asked_count = 0
-        self.asked_home: NodeId | None = None
-        self.unserved = 0
-        self.refused_until_s = now_s
-        self.demand_per_s = 0.0
-        self.demand_s = now_s
-        self.basis = "no home was asked yet"
-        self.basis_s = now_s
-
-
 _DEFAULTS = QuotaSettings()
 _MAX_ASK = 1000
 #: Unanswered asks in turn after which a home counts as silent; a single one
@@ -163,7 +86,7 @@
         self._started_s = now_s
         self._settings = settings
         self._counters = counters or NullCounters()
-        self._accounts: dict[OrganisationId, _Account] = {}
+        self._accounts: dict[OrganisationId, Account] = {}
         self._suspects: dict[NodeId, float] = {}
         self._silences: dict[NodeId, int] = {}
         self._next_number = 0
@@ -387,14 +310,14 @@
 
     # Parts of it.
 
-    def _account(self, organisation: OrganisationId, now_s: float) -> _Account:
+    def _account(self, organisation: OrganisationId, now_s: float) -> Account:
         account = self._accounts.get(organisation)
         if account is None:
-            account = self._accounts[organisation] = _Account(self._started_s)
+            account = self._accounts[organisation] = Account(self._started_s)
         return account
 
     def _refill_local(
-        self, account: _Account, limits: Organisation, now_s: float
+        self, account: Account, limits: Organisation, now_s: float
     ) -> None:
         settings = self._settings
         nodes = self._membership.serving_count()
@@ -405,7 +328,7 @@
         size /= nodes
         account.local.refill(rate_per_s, size, now_s)
 
-    def _note_demand(self, account: _Account, now_s: float) -> None:
+    def _note_demand(self, account: Account, now_s: float) -> None:
         passed_s = now_s - account.demand_s
         account.demand_s = now_s
         kept = max(0.0, 1.0 - passed_s / _DEMAND_WINDOW_S)
@@ -414,7 +337,7 @@
         )
 
     def _refill_pool(
-        self, account: _Account, limits: Organisation, now_s: float
+        self, account: Account, limits: Organisation, now_s: float
     ) -> float:
         """Fills the pool of a home; returns the rate at which it fills."""
         settings = self._settings
@@ -455,19 +378,19 @@
         return out
 
     def _open_pool(
-        self, organisation: OrganisationId, account: _Account, now_s: float
+        self, organisation: OrganisationId, account: Account, now_s: float
     ) -> None:
         if account.pool is not None:
             return
         before = self._last_homes.get(organisation)
-        account.pool = _Bucket(now_s - self._credit_s(before, now_s))
+        account.pool = Bucket(now_s - self._credit_s(before, now_s))
         account.pool_reach = self._membership.reachable_share(
             self._settings.assumed_nodes
         )
         self._take_handed(account, now_s)
 
     @staticmethod
-    def _take_handed(account: _Account, now_s: float) -> None:
+    def _take_handed(account: Account, now_s: float) -> None:
         if now_s < account.handed_until_s:
             account.pool.tokens += account.handed
         account.handed = 0.0
@@ -510,7 +433,7 @@
             self._homes[organisation] = rendezvous_first(key, alive)
         return self._homes[organisation]
 
-    def _on_silent_home(self, account: _Account, now_s: float) -> None:
+    def _on_silent_home(self, account: Account, now_s: float) -> None:
         account.asked_s = None
         account.asked_number = 0
         account.unserved += account.asked_count
