--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -6,7 +6,7 @@
 import select
 import socket
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
 import logbook
@@ -22,9 +22,7 @@
 )
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
-    Change,
     Directory,
-    ReadOrder,
 )
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, Membership
 from egretrock.coordination.probing import TargetChooser, TargetSubsets
@@ -41,7 +39,6 @@
 )
 from egretrock.state.ids import (
     Incarnation,
-    Revision,
     ServiceId,
 )
 from egretrock_node.gateway._clock import FINE_STEP_S, GatewayClock
@@ -50,6 +47,7 @@
 from egretrock_node.gateway._ports import Platform
 from egretrock_node.gateway._prober import LoadProber
 from egretrock_node.gateway._publication import Publication
+from egretrock_node.gateway._reads import DirectoryReads
 from egretrock_node.gateway._settings import GatewaySettings
 from egretrock_node.lifecycle import Draining, DrainOutcome, MessageRouter
 from egretrock_node.observability import StatsdCounters, metrics_text
@@ -133,8 +131,6 @@
         incarnation = Incarnation(secrets.randbits(63))
         self.peer = Peer(settings.node, incarnation)
         self.timers = TimerService(self.started_s)
-        self._is_platform_lost = False
-        self._was_reader = False
         self._make_parts()
         self._make_request_path()
         self._make_sockets()
@@ -271,10 +267,18 @@
             self.clock,
             self.counters,
         )
+        self.reads = DirectoryReads(
+            self.directory,
+            self.membership,
+            self.clock,
+            self.send,
+            self._rebuild,
+            self.counters,
+        )
         self.reader = self._platform.make_reader(
             self._reactor,
             settings.platform_address,
-            self,
+            self.reads,
             self.clock,
             self.counters,
         )
@@ -360,7 +364,7 @@
         self.pipeline.poll(now_s)
         return []
 
-    # ReadSink.
+    # Reads of the platform.
 
     def _reads_at_once(self) -> bool:
         """Returns whether others rely on this node's first read.
@@ -375,61 +379,6 @@
             select.select([listening], [], [], 0)[0]
         )
 
-    def next_read(self) -> ReadOrder | None:
-        """Returns the read that is due, or None."""
-        return self.directory.next_read(self.clock())
-
-    def on_whole(
-        self, entries: Sequence[Change], revision: Revision, sent_s: float
-    ) -> None:
-        """Takes all entries that the platform has."""
-        now_s = self.clock()
-        self.send(self.directory.on_whole(entries, revision, sent_s, now_s))
-        self._after_read(now_s)
-
-    def on_changes(self, changes: Sequence[Change], revision: Revision) -> None:
-        """Takes what has changed."""
-        now_s = self.clock()
-        self.send(self.directory.on_changes(changes, revision, now_s))
-        self._after_read(now_s)
-
-    def on_history_lost(self) -> None:
-        """The platform does not have the changes any more."""
-        now_s = self.clock()
-        _log.info(
-            "platform history lost",
-            extra={"revision": self.directory.revision},
-        )
-        self.send(self.directory.on_history_lost(now_s))
-        self._after_read(now_s)
-
-    def on_read_failed(self, reason: str) -> None:
-        """A read was refused or not answered."""
-        now_s = self.clock()
-        if not self._is_platform_lost:
-            self._is_platform_lost = True
-            _log.warning(
-                "platform lost",
-                extra={
-                    "reason": reason,
-                    "age_s": round(self.directory.age_s(now_s), 3),
-                },
-            )
-        self.counters.increment("platform.read_failures")
-        self.send(self.directory.on_read_failed(now_s))
-        self.membership.set_reads_store(False)
-
-    def _after_read(self, now_s: float) -> None:
-        self.counters.increment("platform.reads")
-        if self._is_platform_lost:
-            self._is_platform_lost = False
-            _log.info(
-                "platform regained",
-                extra={"revision": self.directory.revision},
-            )
-        self.membership.set_reads_store(True)
-        self._rebuild(now_s)
-
     # What is published.
 
     def _rebuild(self, now_s: float) -> None:
@@ -516,7 +465,7 @@
         self.reader.on_tick()
         self._rebuild(now_s)
         self._accept(now_s)
-        self._log_role()
+        self.reads.log_role()
         for record in self.membership.take_changes():
             _log.info(
                 "member",
@@ -528,19 +477,6 @@
                 },
             )
 
-    def _log_role(self) -> None:
-        is_reader = self.directory.is_reader()
-        if is_reader == self._was_reader:
-            return
-        self._was_reader = is_reader
-        _log.info(
-            "reads for the fleet" if is_reader else "reads no more",
-            extra={
-                "readers": self.directory.readers(),
-                "revision": self.directory.revision,
-            },
-        )
-
     def _on_sweep(self, now_s: float) -> None:
         self.callers.sweep(now_s)
         self.pool.sweep(now_s)
--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_reads.py
@@ -0,0 +1,112 @@
+"""Hands what was read from the platform to the directory."""
+
+from collections.abc import Callable, Sequence
+
+import logbook
+
+from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.directory import Change, Directory, ReadOrder
+from egretrock.coordination.gossip import Membership
+from egretrock.state.ids import Revision
+
+_log = logbook.Logger("egretrock.gateway")
+
+
+class DirectoryReads:
+    """Implements ``ReadSink``; logs a lost and a regained platform.
+
+    Args:
+        directory: Orders the reads and takes their results.
+        membership: Tells the fleet whether reads succeed.
+        clock: Seconds of the node's clock.
+        send: Sends messages to other nodes.
+        on_read: Called with the time after each read that succeeded.
+        counters: Counters.
+    """
+
+    def __init__(
+        self,
+        directory: Directory,
+        membership: Membership,
+        clock: Callable[[], float],
+        send: Callable[[list[Outbound]], None],
+        on_read: Callable[[float], None],
+        counters: Counters,
+    ) -> None:
+        self._directory = directory
+        self._membership = membership
+        self._clock = clock
+        self._send = send
+        self._on_read = on_read
+        self._counters = counters
+        self._is_lost = False
+        self._was_reader = False
+
+    def next_read(self) -> ReadOrder | None:
+        """Returns the read that is due, or None."""
+        return self._directory.next_read(self._clock())
+
+    def on_whole(
+        self, entries: Sequence[Change], revision: Revision, sent_s: float
+    ) -> None:
+        """Takes all entries that the platform has."""
+        now_s = self._clock()
+        self._send(self._directory.on_whole(entries, revision, sent_s, now_s))
+        self._after_read(now_s)
+
+    def on_changes(self, changes: Sequence[Change], revision: Revision) -> None:
+        """Takes what has changed."""
+        now_s = self._clock()
+        self._send(self._directory.on_changes(changes, revision, now_s))
+        self._after_read(now_s)
+
+    def on_history_lost(self) -> None:
+        """The platform does not have the changes any more."""
+        now_s = self._clock()
+        _log.info(
+            "platform history lost",
+            extra={"revision": self._directory.revision},
+        )
+        self._send(self._directory.on_history_lost(now_s))
+        self._after_read(now_s)
+
+    def on_read_failed(self, reason: str) -> None:
+        """A read was refused or not answered."""
+        now_s = self._clock()
+        if not self._is_lost:
+            self._is_lost = True
+            _log.warning(
+                "platform lost",
+                extra={
+                    "reason": reason,
+                    "age_s": round(self._directory.age_s(now_s), 3),
+                },
+            )
+        self._counters.increment("platform.read_failures")
+        self._send(self._directory.on_read_failed(now_s))
+        self._membership.set_reads_store(False)
+
+    def log_role(self) -> None:
+        """Logs that the node became a reader for the fleet, or is none now."""
+        is_reader = self._directory.is_reader()
+        if is_reader == self._was_reader:
+            return
+        self._was_reader = is_reader
+        _log.info(
+            "reads for the fleet" if is_reader else "reads no more",
+            extra={
+                "readers": self._directory.readers(),
+                "revision": self._directory.revision,
+            },
+        )
+
+    def _after_read(self, now_s: float) -> None:
+        self._counters.increment("platform.reads")
+        if self._is_lost:
+            self._is_lost = False
+            _log.info(
+                "platform regained",
+                extra={"revision": self._directory.revision},
+            )
+        self._membership.set_reads_store(True)
+        self._on_read(now_s)
