Refuse bodies above the published limit

Change: a body that says it is too large gets 413 before anything is sent on; one that grows too large in chunks gets 413 with the state unknown, and its target sees no last chunk. Tests: one scenario with both and the largest body allowed.

--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -393,6 +393,7 @@
             self.callers.settings = replace(
                 self.callers.settings,
                 max_header_bytes=limits.max_header_bytes,
+                max_body_bytes=limits.max_body_bytes,
                 head_s=limits.head_s,
                 idle_s=limits.idle_s,
             )
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -73,6 +73,8 @@
         if self._is_finished:
             if self._body_bytes > _MAX_DROPPED_BYTES:
                 self._channel.close_soon()
+        elif self._channel.is_body_too_large(self._body_bytes):
+            self._channel.refuse_framing(self._channel.body_too_large())
         elif self.exchange is not None and data:
             self.exchange.on_body(data)
 
@@ -310,6 +312,10 @@
         if checked.is_error():
             self.refuse_framing(checked.error)
             return
+        length = checked.ok.content_length
+        if length is not None and self.is_body_too_large(length):
+            self.refuse_framing(self.body_too_large())
+            return
         self.persistent = is_persistent(self._version, request.headers)
         request.begin(checked.ok, self._version)
 
@@ -344,6 +350,19 @@
             writer.finish()
         self.close_soon()
 
+    def is_body_too_large(self, size_bytes: int) -> bool:
+        """Returns whether a body may not have this many bytes."""
+        limit = self.server.settings.max_body_bytes
+        return limit is not None and size_bytes > limit
+
+    def body_too_large(self) -> Refusal:
+        """Returns the refusal of a body above the limit."""
+        return Refusal(
+            RefusalCode.BODY_TOO_LARGE,
+            RunState.NOT_RUN,
+            f"the body exceeds {self.server.settings.max_body_bytes} bytes",
+        )
+
     def pause_body(self, paused: bool) -> None:
         """Stops or resumes reading, unless the next request is awaited."""
         if self._handlingRequest or self._is_faulty:
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -23,6 +23,7 @@
     Attributes:
         max_connections: Connections at the same time.
         max_header_bytes: Bytes of a request line with its headers.
+        max_body_bytes: Bytes of the body of a request; None for any.
         idle_s: Seconds for which a connection may wait for a request.
         head_s: Seconds in which a head must arrive whole.
         linger_s: Seconds for which a connection that is being closed still
@@ -33,6 +34,7 @@
 
     max_connections: int = 4096
     max_header_bytes: int = 16_384
+    max_body_bytes: int | None = None
     idle_s: float = 75.0
     head_s: float = 10.0
     linger_s: float = 1.0
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/caller.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/caller.feature
@@ -38,3 +38,8 @@
 
   Scenario: A drain cuts off a request in flight
     Then the request is answered, asks to close, and the port is closed
+
+  Scenario: A body above the limit reaches a target whole
+    Then a body that says it is too large gets 413 and reaches no target
+    And a body that grows too large gets 413 and its target no last chunk
+    And a body of the largest size is answered
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/caller_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/caller_steps.py
@@ -280,3 +280,42 @@
     assert caller.rest() == b""
     with socket.socket() as probe:
         assert probe.connect_ex(("127.0.0.1", node.port)) != 0
+
+
+LIMIT_BYTES = 300_000
+
+
+def limited_world(context):
+    return world(context, max_body_bytes=LIMIT_BYTES)
+
+
+@then("a body that says it is too large gets 413 and reaches no target")
+def step_announced(context):
+    node, _ = limited_world(context)
+    head = POST + b"Content-Length: %d\r\n\r\n" % (LIMIT_BYTES + 1)
+    status, _, body = node.caller(head + b"a" * 1000).answer()
+    assert (status, json.loads(body)["run_state"]) == (413, "not_run"), body
+    time.sleep(0.02)
+    assert node.received() == b"", node.received()
+
+
+@then("a body that grows too large gets 413 and its target no last chunk")
+def step_growing(context):
+    node, target = limited_world(context)
+    piece = b"3e8\r\n" + b"a" * 1000 + b"\r\n"
+    caller = node.caller(CHUNKED + piece * 200)
+    wait_until(lambda: len(target.raw) > 100_000)
+    caller.send(piece * 150 + LAST)
+    status, _, body = caller.answer()
+    assert (status, json.loads(body)["run_state"]) == (413, "unknown"), body
+    wait_until(lambda: target.lost == 1)
+    assert not target.raw.endswith(LAST)
+
+
+@then("a body of the largest size is answered")
+def step_largest(context):
+    node, target = limited_world(context)
+    target.script = [OK]
+    head = POST + b"Content-Length: %d\r\n\r\n" % LIMIT_BYTES
+    status, _, _ = node.caller(head + b"a" * LIMIT_BYTES).answer()
+    assert status == 200
