--- /dev/null
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_in_force.py
@@ -0,0 +1,80 @@
+"""The configuration that requests are served by at this moment."""
+
+from collections.abc import Sequence
+
+from egretrock.state.config import (
+    DataCentreState,
+    PublishedConfig,
+    Target,
+    TargetPublishedState,
+)
+from egretrock.state.ids import DataCentreId, ServiceId, TargetId
+from egretrock_node.protocol.http import Routing
+
+
+class ConfigInForce:
+    """Routes and targets of the newest configuration.
+
+    Args:
+        data_centre: Data centre of the node.
+
+    Attributes:
+        routing: Routes and keys, or None before the first configuration.
+        out_since_s: When the node's data centre was taken out of service, or
+            None while it is in.
+    """
+
+    def __init__(self, data_centre: DataCentreId) -> None:
+        self._data_centre = data_centre
+        self.routing: Routing | None = None
+        self.out_since_s: float | None = None
+        self._targets_at: dict[str, list[tuple[ServiceId, TargetId]]] = {}
+
+    def take(self, config: PublishedConfig, now_s: float) -> bool:
+        """Takes a configuration; returns whether it is another one."""
+        if self.routing is not None and self.routing.config is config:
+            return False
+        self.routing = Routing(config)
+        own = config.data_centres.get(self._data_centre)
+        if own is None or own.state is DataCentreState.IN:
+            self.out_since_s = None
+        elif self.out_since_s is None:
+            self.out_since_s = now_s
+        self._targets_at = {}
+        for service_id, service in config.services.items():
+            for target_id, target in service.targets.items():
+                at = self._targets_at.setdefault(target.address, [])
+                at.append((service_id, target_id))
+        return True
+
+    def targets_at(self, address: str) -> Sequence[tuple[ServiceId, TargetId]]:
+        """Returns the targets that are published at an address."""
+        return self._targets_at.get(address, ())
+
+    def is_usable(self, service: ServiceId, target_id: TargetId) -> bool:
+        """Returns whether a target is listed and in service."""
+        target = self._target(service, target_id)
+        if target is None or target.state is not TargetPublishedState.ACTIVE:
+            return False
+        centre = self.routing.config.data_centres.get(target.data_centre)
+        return centre is not None and centre.state is DataCentreState.IN
+
+    def is_at(
+        self, service: ServiceId, target_id: TargetId, address: str
+    ) -> bool:
+        """Returns whether a target is still published at an address."""
+        target = self._target(service, target_id)
+        return target is not None and target.address == address
+
+    def has_target_beyond(
+        self, service: ServiceId, excluded: frozenset[TargetId]
+    ) -> bool:
+        """Returns whether a service has a target that is not excluded."""
+        entry = self.routing.config.services.get(service)
+        return entry is not None and any(
+            target not in excluded for target in entry.targets
+        )
+
+    def _target(self, service: ServiceId, target_id: TargetId) -> Target | None:
+        entry = self.routing.config.services.get(service)
+        return entry and entry.targets.get(target_id)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -21,10 +21,7 @@
 )
 from egretrock.state.config import (
     Access,
-    DataCentreState,
     PublishedConfig,
-    Target,
-    TargetPublishedState,
 )
 from egretrock.state.ids import (
     AttemptId,
@@ -60,6 +57,7 @@
     Try,
     no_answer,
 )
+from egretrock_node.protocol.requests._in_force import ConfigInForce
 from egretrock_node.protocol.requests._ports import (
     CallerPort,
     Environment,
@@ -67,6 +65,14 @@
     PipelineSettings,
     TargetPort,
 )
+from egretrock_node.protocol.requests._refusals import (
+    deadline_exceeded,
+    idempotency_unavailable,
+    key_unknown,
+    not_fresh,
+    not_ready,
+    refusal_of,
+)
 from egretrock_node.protocol.requests._suspicions import (
     Suspicion,
     Suspicions,
@@ -148,9 +154,7 @@
         self._beginning: dict[AttemptId, Exchange] = {}
         # Callers may give ids, so two requests can have the same one.
         self._in_flight: dict[Exchange, None] = {}
-        self._routing: Routing | None = None
-        self._out_since_s: float | None = None
-        self._targets_at: dict[str, list[tuple[ServiceId, TargetId]]] = {}
+        self._in_force = ConfigInForce(settings.data_centre)
         self._instances: dict[TargetId, InstanceId] = {}
         self._suspicions = Suspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
@@ -235,7 +239,7 @@
     def on_connection_lost(self, address: str) -> None:
         """A target closed an idle connection."""
         now_s = self.now()
-        for service, target in self._targets_at.get(address, ()):
+        for service, target in self._in_force.targets_at(address):
             self._send(
                 self._parts.permits.connection_lost(service, target, now_s)
             )
@@ -243,7 +247,7 @@
     def on_pool_empty(self, address: str) -> None:
         """No connection to a target is open any more."""
         now_s = self.now()
-        for service, target in self._targets_at.get(address, ()):
+        for service, target in self._in_force.targets_at(address):
             self._send(self._parts.permits.pool_empty(service, target, now_s))
 
     # The steps.
@@ -255,7 +259,7 @@
             return presented.error
         routing = self._current_routing(now_s)
         if routing is None:
-            return self._not_ready()
+            return not_ready()
         key = presented.ok.key
         if key is not None and is_in_path(key, head.path):
             return bad_request("the key must not stand in the path")
@@ -278,7 +282,7 @@
             exchange.digest = digest_key(key)
             exchange.organisation = routing.organisation_of(exchange.digest)
             if exchange.organisation is None:
-                return self._key_unknown()
+                return key_unknown()
         refusal = self._check_node(now_s)
         if refusal is not None or match.route.idempotent:
             return refusal
@@ -287,13 +291,13 @@
     def _check_node(self, now_s: float) -> Refusal | None:
         fleet = self._parts.fleet
         if not fleet.is_fresh(now_s):
-            return self._not_fresh()
+            return not_fresh()
         if not fleet.is_ready(now_s):
-            return self._not_ready()
+            return not_ready()
         if self._refuses_new:
             message = "the node is stopping"
             return no_answer(RefusalCode.NODE_DRAINING, message)
-        out_s = self._out_since_s
+        out_s = self._in_force.out_since_s
         if out_s is not None and now_s - out_s >= self.settings.out_grace_s:
             message = (
                 f"data centre {self.settings.data_centre!r} is out of service"
@@ -380,7 +384,7 @@
             code = RefusalCode.DUPLICATE_REQUEST
             exchange.refuse(Refusal(code, state, message))
         else:
-            exchange.refuse(self._idempotency_unavailable())
+            exchange.refuse(idempotency_unavailable())
 
     def _admit_first(self, exchange: Exchange, now_s: float) -> None:
         fingerprint = exchange.seal_fingerprint()
@@ -542,7 +546,7 @@
             return chosen
         # The queue has dropped the asker at its deadline.
         asker.ticket = None
-        asker.refuse(self._deadline_exceeded())
+        asker.refuse(deadline_exceeded())
         return None
 
     # The checks at each moment of acting.
@@ -556,7 +560,7 @@
             checked = self._parts.quarantine.check(exchange.fingerprint, now_s)
             refusal = checked.error if checked.is_error() else None
         if refusal is None and now_s >= exchange.dispatch_until_s:
-            refusal = self._idempotency_unavailable()
+            refusal = idempotency_unavailable()
         if refusal is not None:
             self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
             exchange.refuse(refusal)
@@ -564,7 +568,11 @@
         usable = self._is_usable(exchange, call.permit)
         if (
             usable
-            and self._is_at(exchange, call.permit)
+            and self._in_force.is_at(
+                exchange.match.route.service,
+                call.permit.target,
+                call.permit.address,
+            )
             and self._parts.permits.may_dispatch(call.permit, now_s)
         ):
             if exchange.tries == 0:
@@ -606,67 +614,38 @@
     def _check_again(self, exchange: Exchange, now_s: float) -> Refusal | None:
         """Checks what may have changed while the request waited."""
         if now_s >= exchange.deadline_s:
-            return self._deadline_exceeded()
+            return deadline_exceeded()
         if not self._parts.fleet.is_fresh(now_s):
-            return self._not_fresh()
+            return not_fresh()
         routing = self._current_routing(now_s)
         if routing is None:
-            return self._not_ready()
+            return not_ready()
         if exchange.digest is not None:
             owner = routing.organisation_of(exchange.digest)
             if owner != exchange.organisation:
-                return self._key_unknown()
+                return key_unknown()
         return None
 
     def _is_usable(self, exchange: Exchange, permit: Permit) -> bool:
-        """Returns whether a target is listed and in service."""
-        target = self._target(exchange, permit)
-        if target is None or target.state is not TargetPublishedState.ACTIVE:
-            return False
-        centre = self._routing.config.data_centres.get(target.data_centre)
-        return centre is not None and centre.state is DataCentreState.IN
-
-    def _is_at(self, exchange: Exchange, permit: Permit) -> bool:
-        """Returns whether a target is still at the address of a permit."""
-        target = self._target(exchange, permit)
-        return target is not None and target.address == permit.address
-
-    def _target(self, exchange: Exchange, permit: Permit) -> Target | None:
-        services = self._routing.config.services
-        service = services.get(exchange.match.route.service)
-        return service and service.targets.get(permit.target)
+        service = exchange.match.route.service
+        return self._in_force.is_usable(service, permit.target)
 
     def _has_target_beyond(
         self, exchange: Exchange, excluded: frozenset[TargetId]
     ) -> bool:
         """Returns whether a retry could be given any target at all."""
-        service = self._routing.config.services.get(
-            exchange.match.route.service
-        )
-        return service is not None and any(
-            target not in excluded for target in service.targets
-        )
+        service = exchange.match.route.service
+        return self._in_force.has_target_beyond(service, excluded)
 
     def _current_routing(self, now_s: float) -> Routing | None:
         config = self._parts.fleet.config()
         if config is None:
             return None
-        if self._routing is None or self._routing.config is not config:
-            self._routing = Routing(config)
-            self._on_new_config(config, now_s)
-        return self._routing
-
-    def _on_new_config(self, config: PublishedConfig, now_s: float) -> None:
-        own = config.data_centres.get(self.settings.data_centre)
-        if own is None or own.state is DataCentreState.IN:
-            self._out_since_s = None
-        elif self._out_since_s is None:
-            self._out_since_s = now_s
-        self._targets_at = {}
-        for service_id, service in config.services.items():
-            for target_id, target in service.targets.items():
-                at = self._targets_at.setdefault(target.address, [])
-                at.append((service_id, target_id))
+        if self._in_force.take(config, now_s):
+            self._forget_unlisted(config)
+        return self._in_force.routing
+
+    def _forget_unlisted(self, config: PublishedConfig) -> None:
         listed = {t for s in config.services.values() for t in s.targets}
         for target in self._instances.keys() - listed:
             del self._instances[target]
@@ -851,7 +830,7 @@
                 self._new_ticket(exchange)
                 self._ask_permit(exchange, now_s)
                 return
-        exchange.refuse(_refusal_of(failure))
+        exchange.refuse(refusal_of(failure))
 
     def withdraw(self, exchange: Exchange, outcome: CallOutcome) -> None:
         """Takes a request back from wherever it waits or runs."""
@@ -910,7 +889,7 @@
 
     def _expire(self, exchange: Exchange) -> None:
         self.withdraw(exchange, CallOutcome.TIMEOUT)
-        exchange.refuse(self._deadline_exceeded())
+        exchange.refuse(deadline_exceeded())
 
     def _give_up_silent(self, exchange: Exchange) -> None:
         call = exchange.call
@@ -948,36 +927,3 @@
     def _send(self, messages: list[Outbound]) -> None:
         if messages:
             self._send_out(messages)
-
-    @staticmethod
-    def _idempotency_unavailable() -> Refusal:
-        message = "no node can tell whether the Idempotency-Key was used"
-        return no_answer(RefusalCode.IDEMPOTENCY_UNAVAILABLE, message)
-
-    @staticmethod
-    def _key_unknown() -> Refusal:
-        message = "the key is not published, or was withdrawn"
-        return no_answer(RefusalCode.KEY_UNKNOWN, message)
-
-    @staticmethod
-    def _not_fresh() -> Refusal:
-        message = "the node could not confirm its configuration in time"
-        return no_answer(RefusalCode.NODE_NOT_FRESH, message)
-
-    @staticmethod
-    def _not_ready() -> Refusal:
-        message = "the node has not confirmed its configuration yet"
-        return no_answer(RefusalCode.NODE_NOT_READY, message)
-
-    @staticmethod
-    def _deadline_exceeded() -> Refusal:
-        message = "the deadline of the route's profile has passed"
-        return no_answer(RefusalCode.DEADLINE_EXCEEDED, message)
-
-
-def _refusal_of(failure: TryFailure) -> Refusal:
-    if failure.reason in (RetryReason.SHED, RetryReason.DRAINING):
-        code = RefusalCode.TARGET_REFUSED
-    else:
-        code = RefusalCode.TARGET_FAILED
-    return Refusal(code, failure.run_state, failure.message)
