--- a/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
@@ -8,6 +8,8 @@
 * The home of an organisation hands out the rest. It fills its bucket by the
   share of the known fleet that it reaches, so that two homes on two sides of
   a partition together hand out that part once.
+* A home that stops, or finds a better one, hands its tokens over and gives
+  out nothing more.
 * All buckets start empty in a new process, so a restart loses tokens and
   never makes any.
 """
@@ -37,10 +39,9 @@
 from egretrock.state.ids import NodeId, OrganisationId
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 
-_DEMAND_WINDOW_S = 1.0
-
-
 _DEFAULTS = QuotaSettings()
+#: Time over which a node measures its own demand.
+_DEMAND_WINDOW_S = 1.0
 _MAX_ASK = 1000
 #: Unanswered asks in turn after which a home counts as silent; a single one
 #: may be a lost datagram.
@@ -279,6 +280,7 @@
         if not body.is_home:
             # It has just left, or this node lags behind; the next one knows.
             self._suspects[sender.node] = now_s + _NOT_HOME_S
+            account.basis = f"{sender.node} is not the home any more"
         elif body.count:
             if now_s >= account.granted_until_s:
                 account.granted = 0
