Log which node takes itself for the home of a rate

Cause: the rate that was exceeded while homes stopped could not be read from the log, only counted. Change: a node reports the homes that it opens and closes, and the gateway writes a line with the tokens and the share of the fleet that it reaches. Test: coordination/quota, "A home moves and nobody is told".

--- a/packages/egretrock-core/src/egretrock/coordination/quota/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/__init__.py
@@ -1,5 +1,6 @@
 """Rates and bursts of organisations, counted over a fleet without a list."""
 
+from egretrock.coordination.quota._accounts import HomeChange
 from egretrock.coordination.quota._messages import (
     QUOTA_MESSAGES,
     TokenAnswer,
@@ -11,6 +12,7 @@
 
 __all__ = [
     "QUOTA_MESSAGES",
+    "HomeChange",
     "PooledRates",
     "QuotaSettings",
     "TokenAnswer",
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_accounts.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_accounts.py
@@ -1,6 +1,22 @@
 """What one node holds of the rate of an organisation."""
 
-from egretrock.state.ids import NodeId
+from typing import NamedTuple
+
+from egretrock.state.ids import NodeId, OrganisationId
+
+
+class HomeChange(NamedTuple):
+    """This node became the home of a rate, or is it no more.
+
+    Attributes:
+        organisation: Owner of the rate.
+        home: The home now, or None where no node can be it.
+        tokens: Tokens that the pool starts with, or that were handed over.
+    """
+
+    organisation: OrganisationId
+    home: NodeId | None
+    tokens: float
 
 
 class Bucket:
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
@@ -28,7 +28,11 @@
     rendezvous_first,
 )
 from egretrock.coordination.gossip import Membership
-from egretrock.coordination.quota._accounts import Account, Bucket
+from egretrock.coordination.quota._accounts import (
+    Account,
+    Bucket,
+    HomeChange,
+)
 from egretrock.coordination.quota._messages import (
     TokenAnswer,
     TokenAsk,
@@ -99,6 +103,7 @@
         self._last_homes: dict[OrganisationId, NodeId | None] = {}
         self._handed: dict[Peer, int] = {}
         self._left: dict[NodeId, float] = {}
+        self._changes: list[HomeChange] = []
 
     # RatePort.
 
@@ -190,6 +195,11 @@
         for organisation in wanted:
             self._account(organisation, now_s)
 
+    def take_changes(self) -> list[HomeChange]:
+        """Returns which homes moved since the last call, for the log."""
+        changes, self._changes = self._changes, []
+        return changes
+
     def on_tick(self, now_s: float) -> list[Outbound]:
         """Passes over homes that do not answer, opens and closes own pools."""
         out = []
@@ -368,6 +378,9 @@
                 if limits is not None:
                     self._refill_pool(account, limits, now_s)
             elif account.pool is not None:
+                self._changes.append(
+                    HomeChange(organisation, home, account.pool.tokens)
+                )
                 if limits is not None and home is not None:
                     self._refill_pool(account, limits, now_s)
                     self._next_number += 1
@@ -390,6 +403,9 @@
             self._settings.assumed_nodes
         )
         self._take_handed(account, now_s)
+        self._changes.append(
+            HomeChange(organisation, self._membership.node, account.pool.tokens)
+        )
 
     @staticmethod
     def _take_handed(account: Account, now_s: float) -> None:
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
@@ -53,3 +53,8 @@
     Given 19 nodes and an organisation that sends 0.6 times its rate
     When the home is killed for good
     Then at most 8% of its requests are refused
+
+  Scenario: A home moves and nobody is told
+    Given 16 nodes and an organisation that sends 0.6 times its rate
+    When after 2 seconds 1 homes in turn leave, serve on and come back
+    Then the home that left and the next one report the move
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
@@ -141,7 +141,10 @@
 def step_leave(context, delay_s, count):
     load, fleet = context.load, context.fleet
     load.run(delay_s)
-    left = []
+    left = context.left = []
+    context.changes = {}
+    for process in fleet.nodes.values():
+        process.rates.take_changes()
     for _ in range(count):
         staying = [name for name in fleet.names if name not in left]
         home = rendezvous_first(f"quota {ACME}", staying)
@@ -150,6 +153,8 @@
         process.send(process.membership.leave(fleet.network.now_s))
         load.run(0.7)
     load.run(3.0)
+    for name, process in fleet.nodes.items():
+        context.changes[name] = process.rates.take_changes()
     for home in left:
         fleet.kill(home)
         load.run(0.2)
@@ -240,6 +245,15 @@
     assert most > limits.rate_per_s
 
 
+@then("the home that left and the next one report the move")
+def step_report(context):
+    (left,) = context.left
+    (closed,) = context.changes.pop(left)
+    (opened,) = context.changes.pop(closed.home)
+    assert opened.home == closed.home != left, (opened, closed)
+    assert not any(context.changes.values()), context.changes
+
+
 @then("at most {percent:d}% of its requests are refused")
 def step_refused(context, percent):
     total = context.load.refused + len(context.load.admitted_s)
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -467,6 +467,10 @@
         self._rebuild(now_s)
         self._accept(now_s)
         self.reads.log_role()
+        self._log_changes()
+
+    def _log_changes(self) -> None:
+        """Logs what the parts believe now and did not before."""
         for record in self.membership.take_changes():
             _log.info(
                 "member",
@@ -477,6 +481,19 @@
                     "members": self.membership.known_count(),
                 },
             )
+        reach = self.membership.reachable_share
+        for change in self.rates.take_changes():
+            _log.info(
+                "rate home",
+                extra={
+                    "organisation": change.organisation,
+                    "home": change.home,
+                    "tokens": round(change.tokens, 1),
+                    "reached_share": round(
+                        reach(self.settings.quota.assumed_nodes), 2
+                    ),
+                },
+            )
 
     def _on_sweep(self, now_s: float) -> None:
         self.callers.sweep(now_s)
