Do not give a silent target up before the first answer of its service

Cause: before the first answer of a service the slot time was taken for 50 ms, so that twenty of them, 1.0 s, counted as silence. It also ended reads at the start of every process. Test: transport/target, "The first request of a service is given up because it takes long"; fails before, passes now.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -86,8 +86,6 @@
 
 _log = logbook.Logger("egretrock.requests")
 _MAX_IDEMPOTENCY_KEY_BYTES = 255
-#: Slot time assumed for a service before the first answer.
-_FIRST_SLOT_TIME_S = 0.05
 #: Weight of the newest answer in the mean slot time.
 _SLOT_TIME_WEIGHT = 0.05
 #: A target that is silent for this many mean slot times is not just slow.
@@ -659,10 +657,13 @@
         match = exchange.match
         if match is None:
             return float("inf")
-        mean_s = self._slot_time_s.get(match.route.service, _FIRST_SLOT_TIME_S)
         longest_s = (
             match.profile.deadline_ms / 1000 * self.settings.progress_ratio
         )
+        mean_s = self._slot_time_s.get(match.route.service)
+        if mean_s is None:
+            # Before the first answer nobody knows how long the work takes.
+            return longest_s
         patience_s = max(
             self.settings.min_progress_s, _SILENT_SLOT_TIMES * mean_s
         )
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -351,3 +351,17 @@
             assert error.refused == refuses, error
         else:
             raise AssertionError("an answer")
+
+
+@then("a read that takes {work_s:g} s at a fresh node is answered by its first try")
+def step_long_first(context, work_s):
+    def work(connection):
+        time.sleep(work_s)
+        connection.sendall(OK)
+
+    node = context.world = World(2)
+    for target in node.targets:
+        target.script = [work]
+    status, _, _ = node.caller(GET + b"\r\n").answer()
+    assert status == 200
+    assert sum(len(target.heads) for target in node.targets) == 1
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
@@ -56,3 +56,6 @@
 
   Scenario: Reading a small resource of a target waits for ever
     Then the node gets a body, a failure in time and a refusal
+
+  Scenario: The first request of a service is given up because it takes long
+    Then a read that takes 1.4 s at a fresh node is answered by its first try
