Dispatch messages to a part's methods in one place

Found in the read-through: the directory, the membership and the rates wrote the dispatch by message type again, under another name than the five parts that had it. ignore_message and MessageHandler in coordination.base serve all eight; on_message of those that first look at the sender stays theirs.

--- a/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
@@ -9,10 +9,12 @@
 from egretrock.coordination.base._parts import (
     Counters,
     Message,
+    MessageHandler,
     NullCounters,
     Outbound,
     Part,
     Peer,
+    ignore_message,
 )
 from egretrock.coordination.base._timers import Subscription, TimerService
 
@@ -20,12 +22,14 @@
     "PARTITION_COUNT",
     "Counters",
     "Message",
+    "MessageHandler",
     "NullCounters",
     "Outbound",
     "Part",
     "Peer",
     "Subscription",
     "TimerService",
+    "ignore_message",
     "partition_of",
     "placement_weight",
     "rendezvous_first",
--- a/packages/egretrock-core/src/egretrock/coordination/base/_parts.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_parts.py
@@ -1,5 +1,6 @@
 """Messages between nodes and the interface of a coordination part."""
 
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
@@ -43,6 +44,30 @@
         ...
 
 
+def ignore_message(
+    part: object, body: Message, sender: Peer, now_s: float
+) -> list[Outbound]:
+    """Takes a message that a part has no method for."""
+    del part, body, sender, now_s
+    return []
+
+
+class MessageHandler:
+    """Base of the parts that have a method for each type of message.
+
+    A subclass sets ``_handle`` to ``singledispatchmethod(ignore_message)`` and
+    registers its methods there.
+    """
+
+    _handle: Callable[..., list[Outbound]]
+
+    def on_message(
+        self, sender: Peer, body: Message, now_s: float
+    ) -> list[Outbound]:
+        """Hands a message to the method for its type."""
+        return self._handle(body, sender, now_s)
+
+
 class Counters(Protocol):
     """Where the parts count what happens."""
 
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -9,10 +9,11 @@
 
 from egretrock.coordination.base import (
     Counters,
-    Message,
+    MessageHandler,
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
 )
 from egretrock.coordination.directory._assembly import Assembly
 from egretrock.coordination.directory._messages import (
@@ -44,7 +45,7 @@
 _NEAR_SHARE = 0.7
 
 
-class Directory:
+class Directory(MessageHandler):
     """Keeps the entries and decides who reads.
 
     Args:
@@ -265,20 +266,9 @@
             others = near
         return self._rng.choice(others).node if others else None
 
-    @singledispatchmethod
-    def _take(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        del body, sender, now_s
-        return []
-
-    def on_message(
-        self, sender: Peer, body: Message, now_s: float
-    ) -> list[Outbound]:
-        """Takes a message of another node."""
-        return self._take(body, sender, now_s)
+    _handle = singledispatchmethod(ignore_message)
 
-    @_take.register
+    @_handle.register
     def _(self, body: Want, sender: Peer, now_s: float) -> list[Outbound]:
         if not self._revision or body.since >= self._revision:
             return []
@@ -287,7 +277,7 @@
             return self._messages([sender.node], body.since, changes, now_s)
         return self._whole(sender.node, now_s)
 
-    @_take.register
+    @_handle.register
     def _(self, body: News, sender: Peer, now_s: float) -> list[Outbound]:
         passed_on = self._pass_on(body)
         if body.until < self._revision:
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
@@ -14,6 +14,7 @@
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
 )
 from egretrock.coordination.gossip._messages import (
     Ack,
@@ -276,12 +277,7 @@
         self._rng.shuffle(nodes)
         return [self._ping(node, now_s) for node in nodes[:4]]
 
-    @singledispatchmethod
-    def _take(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        del body, sender, now_s
-        return []
+    _handle = singledispatchmethod(ignore_message)
 
     def on_message(
         self, sender: Peer, body: Message, now_s: float
@@ -293,13 +289,13 @@
         is_whole = isinstance(body, Ack) and body.number == _WHOLE
         self._merge(body.news, now_s, spreads=not is_whole)
         lost = self._merge_own(sender, body.news, now_s)
-        out = self._take(body, sender, now_s)
+        out = self._handle(body, sender, now_s)
         if lost is not None:
             # It raises its version, without which others do not believe it.
             out.append(Outbound(sender.node, Ack(_WHOLE, [lost])))
         return out
 
-    @_take.register
+    @_handle.register
     def _(self, body: Ping, sender: Peer, now_s: float) -> list[Outbound]:
         ack = Ack(body.number, self._news(), len(self.alive_nodes()))
         out = [Outbound(sender.node, ack)]
@@ -311,7 +307,7 @@
                 out.append(Outbound(sender.node, Ack(_WHOLE, chunk)))
         return out
 
-    @_take.register
+    @_handle.register
     def _(self, body: Ack, sender: Peer, now_s: float) -> list[Outbound]:
         if self._waiting.pop(body.number, None) is not None:
             self._answered += _PING_WEIGHT * (1.0 - self._answered)
@@ -322,7 +318,7 @@
             out.append(Outbound(relayed.asker, passed_on))
         return out
 
-    @_take.register
+    @_handle.register
     def _(
         self, body: PingRequest, sender: Peer, now_s: float
     ) -> list[Outbound]:
--- a/packages/egretrock-core/src/egretrock/coordination/idempotency/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/idempotency/_client.py
@@ -8,6 +8,7 @@
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
 )
 from egretrock.coordination.idempotency._messages import (
     Answer,
@@ -151,11 +152,7 @@
             return []
         return self._handle(body, sender, now_s)
 
-    @functools.singledispatchmethod
-    def _handle(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        return []
+    _handle = functools.singledispatchmethod(ignore_message)
 
     @_handle.register
     def _on_answer(
--- a/packages/egretrock-core/src/egretrock/coordination/idempotency/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/idempotency/_home.py
@@ -12,6 +12,7 @@
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
 )
 from egretrock.coordination.idempotency._handover import Giver, Taker
 from egretrock.coordination.idempotency._messages import (
@@ -144,11 +145,7 @@
             return []
         return self._handle(body, sender, now_s)
 
-    @functools.singledispatchmethod
-    def _handle(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        return []
+    _handle = functools.singledispatchmethod(ignore_message)
 
     @_handle.register
     def _on_begin(
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
@@ -21,10 +21,11 @@
 
 from egretrock.coordination.base import (
     Counters,
-    Message,
+    MessageHandler,
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
     rendezvous_first,
 )
 from egretrock.coordination.gossip import Membership
@@ -66,7 +67,7 @@
 _MAX_HANDED = 256
 
 
-class PooledRates:
+class PooledRates(MessageHandler):
     """Admits requests of organisations within their rates.
 
     Args:
@@ -225,20 +226,9 @@
                 self._on_silent_home(account, now_s)
         return out
 
-    @singledispatchmethod
-    def _take(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        del body, sender, now_s
-        return []
-
-    def on_message(
-        self, sender: Peer, body: Message, now_s: float
-    ) -> list[Outbound]:
-        """Takes an ask as a home, or the answer of a home."""
-        return self._take(body, sender, now_s)
+    _handle = singledispatchmethod(ignore_message)
 
-    @_take.register
+    @_handle.register
     def _(self, body: TokenAsk, sender: Peer, now_s: float) -> list[Outbound]:
         limits = self._organisation_of(body.organisation)
         if limits is None:
@@ -269,7 +259,7 @@
         )
         return [Outbound(sender.node, answer)]
 
-    @_take.register
+    @_handle.register
     def _(
         self, body: TokenAnswer, sender: Peer, now_s: float
     ) -> list[Outbound]:
@@ -300,7 +290,7 @@
             account.refused_until_s = now_s + body.wait_ms / 1000
         return []
 
-    @_take.register
+    @_handle.register
     def _(
         self, body: TokenHandOver, sender: Peer, now_s: float
     ) -> list[Outbound]:
--- a/packages/egretrock-core/src/egretrock/coordination/retries/_quarantine.py
+++ b/packages/egretrock-core/src/egretrock/coordination/retries/_quarantine.py
@@ -14,9 +14,11 @@
 from egretrock.coordination.base import (
     Counters,
     Message,
+    MessageHandler,
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
 )
 from egretrock.state.ids import (
     Fingerprint,
@@ -135,7 +137,7 @@
     due_s: float = 0.0
 
 
-class CrashQuarantine:
+class CrashQuarantine(MessageHandler):
     """Evidence of crashes, shared by all nodes.
 
     Args:
@@ -226,17 +228,7 @@
             del self._states[node]
         return self._send(now_s) + self._pull(listed, now_s)
 
-    def on_message(
-        self, sender: Peer, body: Message, now_s: float
-    ) -> list[Outbound]:
-        """Takes evidence, an acknowledgement or a pull."""
-        return self._handle(body, sender, now_s)
-
-    @functools.singledispatchmethod
-    def _handle(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        return []
+    _handle = functools.singledispatchmethod(ignore_message)
 
     @_handle.register
     def _(
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -7,10 +7,11 @@
 
 from egretrock.coordination.base import (
     Counters,
-    Message,
+    MessageHandler,
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
     partition_of,
 )
 from egretrock.coordination.targets._fleet import FleetView, usable_target
@@ -222,7 +223,7 @@
         self.held: dict[int, _Held] = {}
 
 
-class TargetClient:
+class TargetClient(MessageHandler):
     """Gets permits for the waiting requests of this node.
 
     Args:
@@ -405,17 +406,7 @@
             out += self._work(client, now_s)
         return out
 
-    def on_message(
-        self, sender: Peer, body: Message, now_s: float
-    ) -> list[Outbound]:
-        """Takes a message of a home."""
-        return self._handle(body, sender, now_s)
-
-    @functools.singledispatchmethod
-    def _handle(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        return []
+    _handle = functools.singledispatchmethod(ignore_message)
 
     @_handle.register
     def _(self, body: Grant, sender: Peer, now_s: float) -> list[Outbound]:
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
@@ -9,10 +9,11 @@
 
 from egretrock.coordination.base import (
     Counters,
-    Message,
+    MessageHandler,
     NullCounters,
     Outbound,
     Peer,
+    ignore_message,
     partition_of,
 )
 from egretrock.coordination.targets._fleet import FleetView, usable_target
@@ -836,7 +837,7 @@
         return out
 
 
-class TargetHome:
+class TargetHome(MessageHandler):
     """The homes of all services whose partition this node holds.
 
     Args:
@@ -908,17 +909,7 @@
             out += home.tick(alive, now_s)
         return out
 
-    @functools.singledispatchmethod
-    def _handle(
-        self, body: Message, sender: Peer, now_s: float
-    ) -> list[Outbound]:
-        return []
-
-    def on_message(
-        self, sender: Peer, body: Message, now_s: float
-    ) -> list[Outbound]:
-        """Takes an ask or an inventory of a client."""
-        return self._handle(body, sender, now_s)
+    _handle = functools.singledispatchmethod(ignore_message)
 
     @_handle.register
     def _(self, body: Ask, sender: Peer, now_s: float) -> list[Outbound]:
