Ask one function whether a target may get work, and make refusals constants

Found in the read-through: usable_target of the target parts stood twice more, in the gateway's publication and in the configuration in force. It moves to state.config, where all three call it; coordination.targets still exports it. The five shared refusals never differ, so they are values and not functions.

--- a/packages/egretrock-core/src/egretrock/coordination/targets/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/__init__.py
@@ -10,7 +10,7 @@
     Permit,
     TargetClient,
 )
-from egretrock.coordination.targets._fleet import FleetView, usable_target
+from egretrock.coordination.targets._fleet import FleetView
 from egretrock.coordination.targets._home import TargetHome
 from egretrock.coordination.targets._messages import (
     PERMIT_S,
@@ -37,6 +37,7 @@
     ProbeResult,
 )
 from egretrock.coordination.targets._record import Health
+from egretrock.state.config import usable_target
 
 __all__ = [
     "PERMIT_S",
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -14,7 +14,7 @@
     ignore_message,
     partition_of,
 )
-from egretrock.coordination.targets._fleet import FleetView, usable_target
+from egretrock.coordination.targets._fleet import FleetView
 from egretrock.coordination.targets._messages import (
     LIST_BYTES,
     PERMIT_S,
@@ -35,7 +35,7 @@
     chunks,
     first_chunk,
 )
-from egretrock.state.config import BalancingPolicy
+from egretrock.state.config import BalancingPolicy, usable_target
 from egretrock.state.ids import (
     InstanceId,
     NodeId,
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_fleet.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_fleet.py
@@ -2,13 +2,8 @@
 
 from typing import Protocol
 
-from egretrock.state.config import (
-    DataCentreState,
-    PublishedConfig,
-    Target,
-    TargetPublishedState,
-)
-from egretrock.state.ids import NodeId, ServiceId, TargetId
+from egretrock.state.config import PublishedConfig
+from egretrock.state.ids import NodeId
 from egretrock.state.membership import VmList
 
 
@@ -42,17 +37,3 @@
     def held_since_s(self, partition: int) -> float | None:
         """Returns since when this node holds a partition."""
         ...
-
-
-def usable_target(
-    config: PublishedConfig, service: ServiceId, target: TargetId
-) -> Target | None:
-    """Returns the entry of a target that may receive new work, or None."""
-    entry = config.services.get(service)
-    published = entry.targets.get(target) if entry else None
-    if published is None or published.state is TargetPublishedState.LEAVING:
-        return None
-    data_centre = config.data_centres.get(published.data_centre)
-    if data_centre is None or data_centre.state is DataCentreState.OUT:
-        return None
-    return published
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
@@ -16,7 +16,7 @@
     ignore_message,
     partition_of,
 )
-from egretrock.coordination.targets._fleet import FleetView, usable_target
+from egretrock.coordination.targets._fleet import FleetView
 from egretrock.coordination.targets._ledger import IssuedPermit, Ledger
 from egretrock.coordination.targets._messages import (
     LIST_BYTES,
@@ -45,7 +45,7 @@
     most_urgent,
 )
 from egretrock.coordination.targets._record import RETURN_RAMP_S, TargetRecord
-from egretrock.state.config import Profile, PublishedConfig
+from egretrock.state.config import Profile, PublishedConfig, usable_target
 from egretrock.state.ids import (
     DataCentreId,
     Incarnation,
--- a/packages/egretrock-core/src/egretrock/state/config/__init__.py
+++ b/packages/egretrock-core/src/egretrock/state/config/__init__.py
@@ -33,6 +33,7 @@
     Target,
     TargetPublishedState,
     WarmupProfile,
+    usable_target,
 )
 
 __all__ = [
@@ -59,4 +60,5 @@
     "check_vm_list",
     "is_address",
     "split_address",
+    "usable_target",
 ]
--- a/packages/egretrock-core/src/egretrock/state/config/_model.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_model.py
@@ -229,3 +229,17 @@
     routes: dict[RouteId, Route]
     #: SHA-256 digest of each key, in lower-case hex, to its organisation.
     keys: dict[str, OrganisationId]
+
+
+def usable_target(
+    config: PublishedConfig, service: ServiceId, target: TargetId
+) -> Target | None:
+    """Returns the entry of a target that may receive new work, or None."""
+    entry = config.services.get(service)
+    published = entry.targets.get(target) if entry else None
+    if published is None or published.state is TargetPublishedState.LEAVING:
+        return None
+    data_centre = config.data_centres.get(published.data_centre)
+    if data_centre is None or data_centre.state is DataCentreState.OUT:
+        return None
+    return published
--- a/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
@@ -5,11 +5,10 @@
 
 from egretrock.coordination.directory import Directory
 from egretrock.state.config import (
-    DataCentreState,
     Organisation,
     PublishedConfig,
     Target,
-    TargetPublishedState,
+    usable_target,
 )
 from egretrock.state.ids import OrganisationId, ServiceId, TargetId
 from egretrock_node.gateway._ports import Published
@@ -56,7 +55,7 @@
             service_id: {
                 target_id: target
                 for target_id, target in service.targets.items()
-                if _takes_work(config, target)
+                if usable_target(config, service_id, target_id) is not None
             }
             for service_id, service in config.services.items()
         }
@@ -110,10 +109,3 @@
         """Returns the rate of an organisation; 1 where it is not known."""
         entry = self.organisation_of(organisation)
         return 1.0 if entry is None else entry.rate_per_s
-
-
-def _takes_work(config: PublishedConfig, target: Target) -> bool:
-    if target.state is not TargetPublishedState.ACTIVE:
-        return False
-    centre = config.data_centres.get(target.data_centre)
-    return centre is not None and centre.state is DataCentreState.IN
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_in_force.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_in_force.py
@@ -5,8 +5,7 @@
 from egretrock.state.config import (
     DataCentreState,
     PublishedConfig,
-    Target,
-    TargetPublishedState,
+    usable_target,
 )
 from egretrock.state.ids import DataCentreId, ServiceId, TargetId
 from egretrock_node.protocol.http import Routing
@@ -53,17 +52,15 @@
 
     def is_usable(self, service: ServiceId, target_id: TargetId) -> bool:
         """Returns whether a target is listed and in service."""
-        target = self._target(service, target_id)
-        if target is None or target.state is not TargetPublishedState.ACTIVE:
-            return False
-        centre = self.routing.config.data_centres.get(target.data_centre)
-        return centre is not None and centre.state is DataCentreState.IN
+        config = self.routing.config
+        return usable_target(config, service, target_id) is not None
 
     def is_at(
         self, service: ServiceId, target_id: TargetId, address: str
     ) -> bool:
         """Returns whether a target is still published at an address."""
-        target = self._target(service, target_id)
+        entry = self.routing.config.services.get(service)
+        target = entry and entry.targets.get(target_id)
         return target is not None and target.address == address
 
     def has_target_beyond(
@@ -74,7 +71,3 @@
         return entry is not None and any(
             target not in excluded for target in entry.targets
         )
-
-    def _target(self, service: ServiceId, target_id: TargetId) -> Target | None:
-        entry = self.routing.config.services.get(service)
-        return entry and entry.targets.get(target_id)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -66,11 +66,11 @@
     TargetPort,
 )
 from egretrock_node.protocol.requests._refusals import (
-    deadline_exceeded,
-    idempotency_unavailable,
-    key_unknown,
-    not_fresh,
-    not_ready,
+    DEADLINE_EXCEEDED,
+    IDEMPOTENCY_UNAVAILABLE,
+    KEY_UNKNOWN,
+    NOT_FRESH,
+    NOT_READY,
     refusal_of,
 )
 from egretrock_node.protocol.requests._suspicions import (
@@ -257,7 +257,7 @@
             return presented.error
         routing = self._current_routing(now_s)
         if routing is None:
-            return not_ready()
+            return NOT_READY
         key = presented.ok.key
         if key is not None and is_in_path(key, head.path):
             return bad_request("the key must not stand in the path")
@@ -280,7 +280,7 @@
             exchange.digest = digest_key(key)
             exchange.organisation = routing.organisation_of(exchange.digest)
             if exchange.organisation is None:
-                return key_unknown()
+                return KEY_UNKNOWN
         refusal = self._check_node(now_s)
         if refusal is not None or match.route.idempotent:
             return refusal
@@ -289,9 +289,9 @@
     def _check_node(self, now_s: float) -> Refusal | None:
         fleet = self._parts.fleet
         if not fleet.is_fresh(now_s):
-            return not_fresh()
+            return NOT_FRESH
         if not fleet.is_ready(now_s):
-            return not_ready()
+            return NOT_READY
         if self._refuses_new:
             message = "the node is stopping"
             return no_answer(RefusalCode.NODE_DRAINING, message)
@@ -382,7 +382,7 @@
             code = RefusalCode.DUPLICATE_REQUEST
             exchange.refuse(Refusal(code, state, message))
         else:
-            exchange.refuse(idempotency_unavailable())
+            exchange.refuse(IDEMPOTENCY_UNAVAILABLE)
 
     def _admit_first(self, exchange: Exchange, now_s: float) -> None:
         fingerprint = exchange.seal_fingerprint()
@@ -544,7 +544,7 @@
             return chosen
         # The queue has dropped the asker at its deadline.
         asker.ticket = None
-        asker.refuse(deadline_exceeded())
+        asker.refuse(DEADLINE_EXCEEDED)
         return None
 
     # The checks at each moment of acting.
@@ -558,7 +558,7 @@
             checked = self._parts.quarantine.check(exchange.fingerprint, now_s)
             refusal = checked.error if checked.is_error() else None
         if refusal is None and now_s >= exchange.dispatch_until_s:
-            refusal = idempotency_unavailable()
+            refusal = IDEMPOTENCY_UNAVAILABLE
         if refusal is not None:
             self._drop_try(exchange, call, CallOutcome.UNUSED, now_s)
             exchange.refuse(refusal)
@@ -612,16 +612,16 @@
     def _check_again(self, exchange: Exchange, now_s: float) -> Refusal | None:
         """Checks what may have changed while the request waited."""
         if now_s >= exchange.deadline_s:
-            return deadline_exceeded()
+            return DEADLINE_EXCEEDED
         if not self._parts.fleet.is_fresh(now_s):
-            return not_fresh()
+            return NOT_FRESH
         routing = self._current_routing(now_s)
         if routing is None:
-            return not_ready()
+            return NOT_READY
         if exchange.digest is not None:
             owner = routing.organisation_of(exchange.digest)
             if owner != exchange.organisation:
-                return key_unknown()
+                return KEY_UNKNOWN
         return None
 
     def _is_usable(self, exchange: Exchange, permit: Permit) -> bool:
@@ -890,7 +890,7 @@
 
     def _expire(self, exchange: Exchange) -> None:
         self.withdraw(exchange, CallOutcome.TIMEOUT)
-        exchange.refuse(deadline_exceeded())
+        exchange.refuse(DEADLINE_EXCEEDED)
 
     def _give_up_silent(self, exchange: Exchange) -> None:
         call = exchange.call
