--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -101,9 +101,9 @@
         now_s: float,
     ) -> list[Outbound]:
         """Asks for a target for one waiting request."""
-        del organisation
+        del organisation, deadline_s
         demand = self._demands.setdefault(service, Demand())
-        demand.tickets[ticket] = Ticket(service, excluded, deadline_s)
+        demand.tickets[ticket] = Ticket(service, excluded)
         self._service_of[ticket] = service
         self._start_rounds(service, demand, now_s)
         return []
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
@@ -67,7 +67,6 @@
     def __init__(self) -> None:
         self.reading: LoadReading | None = None
         self.read_s = float("-inf")
-        self._asked_s = float("-inf")
         self.resume_s = float("-inf")
         self._pause_s = _FIRST_PAUSE_S
         self._failure_rate = 0.0
@@ -80,7 +79,6 @@
         """Takes the answer to a probe that was sent at ``asked_s``."""
         self.reading = reading
         self.read_s = now_s
-        self._asked_s = asked_s
         self._sent_s = [s for s in self._sent_s if s >= asked_s]
         self._pause_s = _FIRST_PAUSE_S
         self.resume_s = float("-inf")
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_rounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_rounds.py
@@ -40,7 +40,6 @@
 class Ticket(msgspec.Struct):
     service: ServiceId
     excluded: frozenset[TargetId]
-    deadline_s: float
 
 
 class Round:
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
@@ -1,5 +1,3 @@
-import collections
-
 import msgspec
 from behave import given, then, when
 
@@ -7,7 +5,11 @@
 from egretrock.coordination.quota import QuotaSettings
 from egretrock.state.config import Organisation
 from egretrock.state.ids import OrganisationId
-from egretrock_standins.virtual import DiscoveredFleet, Faults
+from egretrock_standins.virtual import (
+    DiscoveredFleet,
+    Faults,
+    most_in_window,
+)
 
 ACME = OrganisationId("acme")
 RATE_PER_S, BURST = 12.0, 12.0
@@ -233,13 +235,7 @@
     limits = context.fleet.organisations[ACME]
     usual = limits.rate_per_s * WINDOW_S + limits.burst
     bound = usual * (1 + OVERAGE) + SLACK
-    window = collections.deque()
-    most = 0
-    for at_s in context.load.admitted_s:
-        window.append(at_s)
-        while window[0] <= at_s - WINDOW_S:
-            window.popleft()
-        most = max(most, len(window))
+    most = most_in_window(context.load.admitted_s, WINDOW_S)
     assert most <= bound, f"{most} in 5 s; at most {bound} are allowed"
     # The check means something only where the rate is used.
     assert most > limits.rate_per_s
--- a/packages/egretrock-standins/src/egretrock_standins/search/_run.py
+++ b/packages/egretrock-standins/src/egretrock_standins/search/_run.py
@@ -11,7 +11,11 @@
     EventKind,
     draw_schedule,
 )
-from egretrock_standins.virtual import DiscoveredFleet, Faults
+from egretrock_standins.virtual import (
+    DiscoveredFleet,
+    Faults,
+    most_in_window,
+)
 
 _ACME = OrganisationId("acme")
 _LIMITS = Organisation(60.0, 60.0)
@@ -190,7 +194,8 @@
 
     def broken(self) -> list[Broken]:
         found = []
-        most, allowed = self._most_in_window(), self._allowed()
+        most = most_in_window(self.admitted_s, _WINDOW_S)
+        allowed = self._allowed()
         if most > allowed:
             seen = f"{most} requests in 5 s, {allowed:.0f} allowed"
             found.append(Broken("an organisation gets its rate", seen))
@@ -220,16 +225,6 @@
         usual = _LIMITS.rate_per_s * _WINDOW_S + _LIMITS.burst
         return usual * (1 + _OVERAGE) + _SLACK
 
-    def _most_in_window(self) -> int:
-        window: collections.deque[float] = collections.deque()
-        most = 0
-        for at_s in self.admitted_s:
-            window.append(at_s)
-            while window[0] <= at_s - _WINDOW_S:
-                window.popleft()
-            most = max(most, len(window))
-        return most
-
 
 def play(seed: int, nodes: int = 16, span_s: float = 10.0) -> SearchResult:
     """Plays one seed.
--- a/packages/egretrock-standins/src/egretrock_standins/slopes/discovered.py
+++ b/packages/egretrock-standins/src/egretrock_standins/slopes/discovered.py
@@ -44,14 +44,12 @@
     sent: dict[str, collections.Counter[NodeId]] = collections.defaultdict(
         collections.Counter
     )
-    send_copy = fleet.network._send_copy
 
-    def count(sender: Peer, message: Outbound) -> None:
+    def count(sender: NodeId, message: Outbound) -> None:
         size_bytes = sum(map(len, codec.encode([message.body])))
-        sent[_PARTS[type(message.body)]][sender.node] += size_bytes
-        send_copy(sender, message)
+        sent[_PARTS[type(message.body)]][sender] += size_bytes
 
-    fleet.network._send_copy = count
+    fleet.network.on_send = count
     calls, started_s = fleet.store.calls, time.process_time()
     end_s = fleet.network.now_s + _SPAN_S
     while fleet.network.now_s < end_s:
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -28,6 +28,7 @@
     VirtualTarget,
     VirtualWorld,
 )
+from egretrock_standins.virtual._windows import most_in_window
 
 __all__ = [
     "DiscoveredFleet",
@@ -47,6 +48,7 @@
     "VirtualTarget",
     "VirtualWorld",
     "config_json",
+    "most_in_window",
     "node",
     "vms_json",
 ]
