Send probes in one place

Found in the read-through: since the chooser says when it has new probes, the step of the clock and each answer asked for them a second and third time. Only the call that the chooser asks for is left; it runs in the same turn of the reactor.

--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -436,7 +436,6 @@
 
     def _on_request_tick(self, now_s: float) -> None:
         self.chooser.on_tick(now_s)
-        self.prober.send()
         self.pipeline.on_tick(now_s)
         self.draining.on_tick(now_s)
 
@@ -453,7 +452,6 @@
 
     def _on_probe_answer(self) -> None:
         self.pipeline.poll(self.clock())
-        self.prober.send()
 
     def _on_fleet_tick(self, now_s: float) -> None:
         for part in (
