Give both nodes one base and one process

Found in the read-through: the gateway wrote again how a node sends, stops accepting, cuts requests off and ends at once, and how a process connects its signals to that. Both are in egretrock_node.wiring now, a layer of its own above the transport.

--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -51,20 +51,19 @@
 from egretrock_node.protocol.peers import Codec
 from egretrock_node.protocol.requests import (
     Environment,
-    InFlight,
     Parts,
     PipelineSettings,
     RequestPipeline,
 )
 from egretrock_node.protocol.status import NodeStatus
 from egretrock_node.settings import Settings
-from egretrock_node.transport._service import Service
 from egretrock_node.transport.caller import CallerServer, CallerServerSettings
 from egretrock_node.transport.clock import boot_time_s
 from egretrock_node.transport.documents import DocumentExchange
 from egretrock_node.transport.operator import OperatorEndpoint
 from egretrock_node.transport.peers import PeerEndpoint
 from egretrock_node.transport.target import TargetPool
+from egretrock_node.wiring import NodeService
 
 _log = logbook.Logger("egretrock.node")
 
@@ -122,7 +121,7 @@
         raise ImportError(message) from error
 
 
-class Node(Service):
+class Node(NodeService):
     """One node. ``start`` opens its sockets; ``on_end`` is told of its end.
 
     Args:
@@ -134,6 +133,8 @@
         clock: Seconds of a monotonic clock that goes on while stopped.
     """
 
+    log = _log
+
     def __init__(
         self,
         reactor: Any,
@@ -310,12 +311,6 @@
 
     # Messages.
 
-    def send(self, messages: list[Outbound]) -> None:
-        """Sends messages; those to this node are delivered at once."""
-        self.endpoint.send(
-            self.router.deliver_own(self.peer, messages, self.clock)
-        )
-
     def _on_peer_message(
         self, sender: Peer, body: Message, now_s: float
     ) -> list[Outbound]:
@@ -345,9 +340,6 @@
 
     # Timers.
 
-    def _advance(self) -> None:
-        self.timers.advance(self.clock())
-
     def _on_request_tick(self, now_s: float) -> None:
         for part in (
             self.limits,
@@ -430,10 +422,6 @@
             _log.info("drain started")
         self.draining.start(self.clock())
 
-    def stop_now(self) -> None:
-        """Ends a planned stop at once."""
-        self.draining.stop_now(self.clock())
-
     def _is_data_centre_out(self) -> bool:
         config = self.fleet.config()
         if config is None:
@@ -443,10 +431,6 @@
 
     # DrainPort.
 
-    def stop_accepting(self) -> None:
-        """Accepts no more connections; open ones end after their request."""
-        self.callers.drain()
-
     def open_work(self) -> int:
         """Returns the requests and connections that are still open."""
         return self.pipeline.in_flight_count + self.callers.connection_count
@@ -465,19 +449,3 @@
     def release(self) -> None:
         """Lets other nodes hold this node's partitions."""
         self.send(self.fleet.release(self.clock()))
-
-    def cut(self) -> list[InFlight]:
-        """Ends what is left and returns it."""
-        cut = self.pipeline.cut()
-        for entry in cut:
-            _log.warning(
-                "request cut off",
-                extra={
-                    "request_id": entry.request_id,
-                    "route": entry.route,
-                    "stage": entry.stage.value,
-                    "run_state": entry.run_state.value,
-                },
-            )
-        self.callers.close()
-        return cut
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -54,16 +54,15 @@
 from egretrock_node.protocol.peers import Codec
 from egretrock_node.protocol.requests import (
     Environment,
-    InFlight,
     Parts,
     PipelineSettings,
     RequestPipeline,
 )
-from egretrock_node.transport._service import Service
 from egretrock_node.transport.caller import CallerServer, CallerServerSettings
 from egretrock_node.transport.clock import boot_time_s
 from egretrock_node.transport.peers import PeerEndpoint
 from egretrock_node.transport.target import TargetPool, TargetPoolSettings
+from egretrock_node.wiring import NodeService
 
 _log = logbook.Logger("egretrock.gateway")
 
@@ -93,7 +92,7 @@
         raise CannotListenError(*place, error) from error
 
 
-class Gateway(Service):
+class Gateway(NodeService):
     """One node. ``start`` opens its sockets; ``on_end`` is told of its end.
 
     Args:
@@ -108,6 +107,8 @@
         began_s: When the process began, by ``clock``; None for now.
     """
 
+    log = _log
+
     def __init__(
         self,
         reactor: Any,
@@ -350,12 +351,6 @@
 
     # Messages.
 
-    def send(self, messages: list[Outbound]) -> None:
-        """Sends messages; those to this node are delivered at once."""
-        self.endpoint.send(
-            self.router.deliver_own(self.peer, messages, self.clock)
-        )
-
     def _on_peer_message(
         self, sender: Peer, body: Message, now_s: float
     ) -> list[Outbound]:
@@ -431,9 +426,6 @@
 
     # Timers.
 
-    def _advance(self) -> None:
-        self.timers.advance(self.clock())
-
     def _on_request_tick(self, now_s: float) -> None:
         self.chooser.on_tick(now_s)
         self.pipeline.on_tick(now_s)
@@ -540,16 +532,8 @@
         self.membership.set_seeds(settings.seeds)
         _log.info("settings reloaded", extra={"seeds": list(settings.seeds)})
 
-    def stop_now(self) -> None:
-        """Ends a planned stop at once."""
-        self.draining.stop_now(self.clock())
-
     # DrainPort.
 
-    def stop_accepting(self) -> None:
-        """Accepts no more connections; open ones end after their request."""
-        self.callers.drain()
-
     def open_work(self) -> int:
         """Returns the requests that are not answered."""
         return self.pipeline.in_flight_count
@@ -564,20 +548,3 @@
 
     def release(self) -> None:
         """Nothing is held exclusively."""
-
-    def cut(self) -> list[InFlight]:
-        """Ends what is left and returns it."""
-        cut = self.pipeline.cut()
-        for entry in cut:
-            _log.warning(
-                "request cut off",
-                extra={
-                    "request_id": entry.request_id,
-                    "route": entry.route,
-                    "stage": entry.stage.value,
-                    "run_state": entry.run_state.value,
-                    "age_s": round(entry.age_s, 3),
-                },
-            )
-        self.callers.close()
-        return cut
