--- a/packages/egretrock-standins/src/egretrock_standins/soak/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/__init__.py
@@ -8,7 +8,6 @@
 """
 
 from egretrock_standins.soak._callers import (
-    Answer,
     CallerProtocol,
     Callers,
     Outcome,
@@ -30,7 +29,6 @@
 )
 
 __all__ = [
-    "Answer",
     "CallerProtocol",
     "Callers",
     "Fault",
--- a/packages/egretrock-standins/src/egretrock_standins/soak/_callers.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/_callers.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+from egretrock_standins.fleet_runner import Answer
+
 #: Time that a caller waits for an answer; above every deadline.
 TIMEOUT_S = 4.0
 DEADLINE_MS = 2000
@@ -40,14 +42,6 @@
     status: int
 
 
-class Answer(NamedTuple):
-    """An answer as it was read."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-
 class CallerProtocol(NamedTuple):
     """How a deployment is spoken to.
 
@@ -155,7 +149,7 @@
                 protocol.headers(request_id, key),
             )
             response = connection.getresponse()
-            names = {k.title(): v for k, v in response.getheaders()}
+            names = {k.lower(): v for k, v in response.getheaders()}
             answer = Answer(response.status, names, response.read())
             status = answer.status
             outcome = self._judge(answer, request_id)
