--- a/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
@@ -1,5 +1,6 @@
 """What all coordination parts share: messages, parts, counters, timers."""
 
+from egretrock.coordination.base._buckets import TokenBucket
 from egretrock.coordination.base._hashing import (
     PARTITION_COUNT,
     partition_of,
@@ -29,6 +30,7 @@
     "Peer",
     "Subscription",
     "TimerService",
+    "TokenBucket",
     "ignore_message",
     "partition_of",
     "placement_weight",
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -284,7 +284,7 @@
             if budget.tokens < 1.0 and (sent or round_.asked):
                 self._counters.increment("probes.saved")
                 break
-            budget.tokens -= 1.0
+            budget.spend()
             sent = True
             number = next(self._numbers)
             round_.pending.add(number)
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_rounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_rounds.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from egretrock.coordination.base import TokenBucket
 from egretrock.coordination.probing._readings import Candidate
 from egretrock.state.ids import ServiceId, TargetId, TicketId
 
@@ -15,26 +16,29 @@
     """Probes that one node may send to one service.
 
     Attributes:
-        tokens: Probes that may be sent now; below 0 where one was sent that
-            could not wait.
         level: Share of the budget that was left at the last refill.
     """
 
     def __init__(self) -> None:
-        self.tokens = 0.0
         self.level = 1.0
-        self._refilled_s: float | None = None
+        self._bucket: TokenBucket | None = None
+
+    @property
+    def tokens(self) -> float:
+        """Probes that may be sent now."""
+        return 0.0 if self._bucket is None else self._bucket.tokens
 
     def refill(self, rate_per_s: float, now_s: float) -> None:
-        """Adds the probes that are due since the last call."""
+        """Adds the probes that are due since the last call; starts full."""
         size = max(1.0, rate_per_s * _SAVED_S)
-        if self._refilled_s is None:
-            self.tokens = size
-        else:
-            grown = self.tokens + (now_s - self._refilled_s) * rate_per_s
-            self.tokens = min(size, grown)
+        if self._bucket is None:
+            self._bucket = TokenBucket(now_s, size)
+        self._bucket.refill(rate_per_s, size, now_s)
         self.level = max(0.0, self.tokens) / size
-        self._refilled_s = now_s
+
+    def spend(self) -> None:
+        """Counts a probe, also one that could not wait for its token."""
+        self._bucket.tokens -= 1.0
 
 
 class Ticket(msgspec.Struct):
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_accounts.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_accounts.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from egretrock.coordination.base import TokenBucket
 from egretrock.state.ids import NodeId, OrganisationId
 
 
@@ -19,31 +20,12 @@
     tokens: float
 
 
-class Bucket:
-    """A token bucket whose rate and size may change at any time."""
-
-    def __init__(self, now_s: float) -> None:
-        self.tokens = 0.0
-        self._updated_s = now_s
-
-    def refill(self, rate_per_s: float, size: float, now_s: float) -> None:
-        passed_s = max(0.0, now_s - self._updated_s)
-        self._updated_s = max(now_s, self._updated_s)
-        self.tokens = min(size, self.tokens + passed_s * rate_per_s)
-
-    def take(self, count: float) -> bool:
-        if self.tokens < count:
-            return False
-        self.tokens -= count
-        return True
-
-
 class Account:
     """What a node holds for one organisation."""
 
     def __init__(self, now_s: float) -> None:
-        self.local = Bucket(now_s)
-        self.pool: Bucket | None = None
+        self.local = TokenBucket(now_s)
+        self.pool: TokenBucket | None = None
         self.pool_reach = 0.0
         self.handed = 0.0
         self.handed_until_s = now_s
--- a/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/_pooled.py
@@ -25,13 +25,13 @@
     NullCounters,
     Outbound,
     Peer,
+    TokenBucket,
     ignore_message,
     rendezvous_first,
 )
 from egretrock.coordination.gossip import Membership
 from egretrock.coordination.quota._accounts import (
     Account,
-    Bucket,
     HomeChange,
 )
 from egretrock.coordination.quota._messages import (
@@ -388,7 +388,7 @@
         if account.pool is not None:
             return
         before = self._last_homes.get(organisation)
-        account.pool = Bucket(now_s - self._credit_s(before, now_s))
+        account.pool = TokenBucket(now_s - self._credit_s(before, now_s))
         account.pool_reach = self._membership.reachable_share(
             self._settings.assumed_nodes
         )
--- a/packages/egretrock-node/src/egretrock_node/observability/_budget.py
+++ b/packages/egretrock-node/src/egretrock_node/observability/_budget.py
@@ -9,6 +9,8 @@
 import logbook
 import msgspec
 
+from egretrock.coordination.base import TokenBucket
+
 #: Bytes that wait while standard output takes none.
 _MAX_WAITING_BYTES = 262_144
 
@@ -57,8 +59,7 @@
         self.formatter = formatter
         self._budget = budget or LogBudget()
         self._clock = clock
-        self._tokens = self._budget.burst_lines
-        self._refilled_s = clock()
+        self._bucket = TokenBucket(clock(), self._budget.burst_lines)
         self._left_out: collections.Counter[str] = collections.Counter()
         self._waiting = b""
         self._is_closed = False
@@ -66,18 +67,15 @@
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes a record if the budget has room."""
         budget = self._budget
-        now_s = self._clock()
-        passed_s = max(0.0, now_s - self._refilled_s)
-        self._refilled_s = now_s
-        grown = self._tokens + passed_s * budget.lines_per_s
-        self._tokens = min(budget.burst_lines, grown)
+        bucket = self._bucket
+        bucket.refill(budget.lines_per_s, budget.burst_lines, self._clock())
         least = 1.0
         if record.level < logbook.INFO:
             least = budget.reserved_share * budget.burst_lines
-        if self._tokens < least:
+        if bucket.tokens < least:
             self._left_out[record.message] += 1
             return
-        self._tokens -= 1.0
+        bucket.tokens -= 1.0
         lines = [self.format(record)]
         if self._left_out:
             lines.append(self._left_out_line(record))
