Bound the control traffic of a fleet that starts

Cause: while a node knew nobody it asked all three seeds for whole member lists ten times a second, and every node whose list was shorter than a peer's asked for all of it. Ruled out: the tree that forwards updates (8 of 35 MB in the virtual network). The virtual network gains processor time and a bounded backlog of its nodes.

--- a/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
@@ -7,6 +7,11 @@
     placement_weight,
     rendezvous_node,
 )
+from egretrock.coordination.base._packing import (
+    UnpackError,
+    pack_value,
+    unpack_value,
+)
 from egretrock.coordination.base._parts import (
     Counters,
     Message,
@@ -31,8 +36,11 @@
     "PeriodicTimer",
     "TimerService",
     "TokenBucket",
+    "UnpackError",
     "ignore_message",
+    "pack_value",
     "partition_of",
     "placement_weight",
     "rendezvous_node",
+    "unpack_value",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
@@ -12,6 +12,7 @@
 )
 from egretrock.coordination.directory._settings import (
     DirectorySettings,
+    FirstRead,
     ReadKind,
     ReadRequest,
 )
@@ -21,6 +22,7 @@
     "Change",
     "Directory",
     "DirectorySettings",
+    "FirstRead",
     "ReadKind",
     "ReadRequest",
     "Update",
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_assembly.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_assembly.py
@@ -16,6 +16,7 @@
 class _PartialMessage(msgspec.Struct):
     fragments: dict[int, bytes]
     started_s: float
+    is_snapshot: bool
 
 
 class Assembly:
@@ -41,7 +42,9 @@
             if len(self._incomplete) >= _MAX_PARTIAL_MESSAGES:
                 self._counters.increment("directory.partial_dropped")
                 self._incomplete.clear()
-            partial = self._incomplete[key] = _PartialMessage({}, now_s)
+            partial = self._incomplete[key] = _PartialMessage(
+                {}, now_s, body.is_snapshot
+            )
         partial.fragments[body.fragment_index] = body.data
         if len(partial.fragments) < body.fragment_count:
             return None
@@ -51,6 +54,10 @@
             for fragment_index in range(body.fragment_count)
         ]
 
+    def is_snapshot_arriving(self) -> bool:
+        """Returns whether fragments of a snapshot have arrived, not all."""
+        return any(p.is_snapshot for p in self._incomplete.values())
+
     def expire(self, now_s: float) -> None:
         """Drops incomplete messages after the timeout."""
         for key, partial in list(self._incomplete.items()):
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -13,12 +13,13 @@
     NullCounters,
     Outbound,
     Peer,
+    TokenBucket,
+    UnpackError,
     ignore_message,
 )
 from egretrock.coordination.directory._assembly import Assembly
 from egretrock.coordination.directory._messages import (
     Change,
-    UnpackError,
     Update,
     UpdateRequest,
     pack,
@@ -28,6 +29,7 @@
 from egretrock.coordination.directory._relay import Relay
 from egretrock.coordination.directory._settings import (
     DirectorySettings,
+    FirstRead,
     ReadKind,
     ReadRequest,
 )
@@ -42,7 +44,10 @@
 
 _DEFAULTS = DirectorySettings()
 #: Share of the requests of a new node that go to its own data centre.
-_LOCAL_SHARE = 0.7
+_LOCAL_SHARE = 0.85
+#: Share of ``stale_s`` up to which a node's entries are new enough to confirm
+#: those of a peer.
+_CONFIRMING_AGE_RATIO = 0.5
 
 
 class Directory(MessageHandler):
@@ -57,8 +62,8 @@
         now_s: Time of the start.
         settings: Times and sizes of the directory.
         counters: Metrics.
-        reads_immediately: Returns whether a node without entries reads from the
-            platform immediately and does not wait for the answers of its peers.
+        first_read: Returns how urgent the first read of a node without
+            entries is.
 
     Attributes:
         generation: Number that is raised with each change of ``entries``.
@@ -72,17 +77,18 @@
         now_s: float,
         settings: DirectorySettings = _DEFAULTS,
         counters: Counters | None = None,
-        reads_immediately: Callable[[], bool] = lambda: True,
+        first_read: Callable[[], FirstRead] = lambda: FirstRead.IMMEDIATE,
     ) -> None:
         self._node = node
         self._members = members
-        self._reads_immediately = reads_immediately
+        self._first_read = first_read
         self._relay = Relay(node)
         self._rng = rng
         self._settings = settings
         self._counters = counters or NullCounters()
         self._ranked_members: Sequence[MemberRecord] | None = None
         self._readers: list[NodeId] = []
+        self._successors: list[NodeId] = []
         self._entries: dict[str, _Entry] = {}
         self._held_entries: dict[str, tuple[bytes, float]] = {}
         self._revision = Revision(0)
@@ -96,7 +102,10 @@
         self._needs_snapshot = True
         self._failed_reads = 0
         self._next_read_s = now_s
-        self._ask_peers_until_s = now_s + self._settings.first_read_s
+        self._started_s = now_s
+        self._first_read_spread = rng.random()
+        self._reader_since_s: float | None = None
+        self._snapshots = TokenBucket(now_s, settings.snapshots_per_s)
         self._next_request_s = now_s
         self._gap_sender: NodeId | None = None
         self._last_broadcast_s = float("-inf")
@@ -137,13 +146,37 @@
         if members is self._ranked_members:
             return self._readers
         self._ranked_members = members
-        self._readers = choose_readers(members, self._settings.reader_count)
+        settings = self._settings
+        ranked = choose_readers(
+            members, settings.reader_count + settings.successor_count
+        )
+        self._readers = ranked[: settings.reader_count]
+        self._successors = ranked[settings.reader_count :]
         return self._readers
 
     def is_reader(self) -> bool:
-        """Returns whether this node reads for the fleet."""
+        """Returns whether this node is one that reads for the fleet."""
         return self._node in self.readers()
 
+    def _reads_for_fleet(self, now_s: float) -> bool:
+        """Returns whether this node reads for the fleet now.
+
+        A node that has just become a reader does not as long as updates of
+        others arrive, and a successor only when they do not.
+        """
+        settings = self._settings
+        age_s = self.age_s(now_s)
+        if not self.is_reader():
+            self._reader_since_s = None
+            return (
+                self._node in self._successors
+                and age_s > settings.successor_ratio * settings.stale_s
+            )
+        if self._reader_since_s is None:
+            self._reader_since_s = now_s
+        is_settled = now_s - self._reader_since_s >= settings.settle_s
+        return is_settled or age_s > settings.refresh_ratio * settings.stale_s
+
     def first_hops(self) -> list[NodeId]:
         """Returns the members that this node sends updates to as a reader."""
         return self._relay.first_hops(self._members())
@@ -159,19 +192,33 @@
         if now_s < self._next_read_s:
             return None
         if self._needs_snapshot:
-            is_first = not self._revision and now_s < self._ask_peers_until_s
-            if is_first and not self._reads_immediately():
+            if not self._revision and now_s < self._first_read_at_s():
                 return None
             return ReadRequest(ReadKind.SNAPSHOT)
-        if self.is_reader():
-            return ReadRequest(
-                ReadKind.CHANGES, self._revision, self._settings.watch_s
-            )
+        if self._reads_for_fleet(now_s):
+            wait_s = self._settings.watch_s if self.is_reader() else 0.0
+            return ReadRequest(ReadKind.CHANGES, self._revision, wait_s)
         if self.age_s(now_s) > self._settings.stale_s:
             # No long poll: it only reads the changes that were missed.
             return ReadRequest(ReadKind.CHANGES, self._revision, 0.0)
         return None
 
+    def _first_read_at_s(self) -> float:
+        """Returns until when a node without entries asks its peers only.
+
+        Of many nodes that start at the same time only a few read, spread
+        over a time that grows with the members that they have met.
+        """
+        urgency = self._first_read()
+        if urgency is FirstRead.IMMEDIATE:
+            return self._started_s
+        settings = self._settings
+        wait_s = settings.first_read_s
+        if urgency is FirstRead.URGENT:
+            wait_s = settings.urgent_first_read_s
+        spread_s = settings.first_read_spread_s * (len(self._members()) - 1)
+        return self._started_s + wait_s + self._first_read_spread * spread_s
+
     def on_snapshot(
         self,
         entries: Sequence[Change],
@@ -195,10 +242,14 @@
         previous_revision = self._revision
         changes = self._replace_entries(entries, revision, now_s)
         self._confirm(sent_s, now_s)
-        if not self.is_reader() or not previous_revision:
+        if not self._is_announcing() or not previous_revision:
             return []
         return self._broadcast(previous_revision, changes, now_s)
 
+    def _is_announcing(self) -> bool:
+        """Returns whether this node tells the fleet what it reads."""
+        return self.is_reader() or self._node in self._successors
+
     def on_changes(
         self,
         changes: Sequence[Change],
@@ -218,7 +269,7 @@
         previous_revision = self._revision
         self._apply_changes(changes, revision, now_s)
         self._confirm(now_s, now_s)
-        if not self.is_reader():
+        if not self._is_announcing():
             return []
         self._next_read_s = now_s + self._settings.pause_s
         return self._broadcast(previous_revision, changes, now_s)
@@ -259,13 +310,25 @@
         if peer is None and not self._revision:
             # Peers may have the entries, even during an outage of the platform.
             peer = self._random_peer()
-            if now_s < self._ask_peers_until_s:
+            if now_s < self._started_s + self._settings.first_read_s:
                 period_s = self._settings.first_request_interval_s
-        if peer is None:
+        if peer is None and self._is_ageing(now_s):
+            peer = self._random_peer()
+        if peer is None or self._assembly.is_snapshot_arriving():
             return []
         self._next_request_s = now_s + period_s
         return [Outbound(peer, UpdateRequest(self._revision))]
 
+    def _is_ageing(self, now_s: float) -> bool:
+        """Returns whether a peer's newer entries may spare an own read."""
+        settings = self._settings
+        age_s = self.age_s(now_s)
+        return (
+            settings.refresh_ratio * settings.stale_s
+            < age_s
+            < (settings.outage_s)
+        )
+
     def _random_peer(self) -> NodeId | None:
         """Returns a random peer, more often one of this node's data centre."""
         own, *peers = self._members()
@@ -280,11 +343,22 @@
     def _(
         self, body: UpdateRequest, sender: Peer, now_s: float
     ) -> list[Outbound]:
-        if not self._revision or body.since >= self._revision:
+        if not self._revision or body.since > self._revision:
             return []
+        if body.since == self._revision:
+            # Confirms the entries of a peer that updates do not reach.
+            limit_s = _CONFIRMING_AGE_RATIO * self._settings.stale_s
+            if self.age_s(now_s) > limit_s:
+                return []
+            return self._updates([sender.node], body.since, [], now_s)
         if body.since and body.since >= self._change_log_since:
             changes = [c for c in self._change_log if c.revision > body.since]
             return self._updates([sender.node], body.since, changes, now_s)
+        rate_per_s = self._settings.snapshots_per_s
+        self._snapshots.refill(rate_per_s, rate_per_s, now_s)
+        if not self._snapshots.take(1.0):
+            self._counters.increment("directory.snapshots_refused")
+            return []
         return self._snapshot_updates(sender.node, now_s)
 
     @_handle.register
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
@@ -1,11 +1,10 @@
 """Messages that distribute the directory, and their packing."""
 
-import zlib
 from collections.abc import Iterator, Sequence
 
 import msgspec
 
-from egretrock.coordination.base import Message
+from egretrock.coordination.base import Message, pack_value, unpack_value
 from egretrock.state.ids import NodeId, Revision
 
 
@@ -68,10 +67,6 @@
 MAX_UNPACKED_BYTES = 16_000_000
 
 
-class UnpackError(Exception):
-    """The fragments cannot be decoded to a message."""
-
-
 def pack(changes: Sequence[Change]) -> list[bytes]:
     """Packs changes into fragments; one empty one if there are no changes.
 
@@ -83,8 +78,7 @@
     """
     if not changes:
         return [b""]
-    packed = zlib.compress(msgspec.msgpack.encode(changes), 6)
-    return list(_split(packed))
+    return list(_split(pack_value(changes)))
 
 
 def unpack(fragments: Sequence[bytes]) -> list[Change]:
@@ -96,16 +90,7 @@
     packed = b"".join(fragments)
     if not packed:
         return []
-    decompressor = zlib.decompressobj()
-    try:
-        raw = decompressor.decompress(packed, MAX_UNPACKED_BYTES)
-        if decompressor.unconsumed_tail:
-            raise UnpackError(
-                f"message of more than {MAX_UNPACKED_BYTES} bytes"
-            )
-        return msgspec.msgpack.decode(raw, type=list[Change])
-    except (zlib.error, msgspec.MsgspecError) as error:
-        raise UnpackError(str(error)) from error
+    return unpack_value(packed, list[Change], MAX_UNPACKED_BYTES)
 
 
 def _split(packed: bytes) -> Iterator[bytes]:
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/__init__.py
@@ -14,6 +14,8 @@
     MemberState,
     Ping,
     PingRequest,
+    SyncAnswer,
+    SyncRequest,
 )
 from egretrock.coordination.gossip._settings import GossipSettings
 
@@ -27,4 +29,6 @@
     "Membership",
     "Ping",
     "PingRequest",
+    "SyncAnswer",
+    "SyncRequest",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
@@ -14,16 +14,27 @@
     NullCounters,
     Outbound,
     Peer,
+    UnpackError,
     ignore_message,
 )
+from egretrock.coordination.gossip._digests import (
+    LIVE_STATES,
+    ListDigest,
+    records_in,
+)
 from egretrock.coordination.gossip._messages import (
     Ack,
     MemberRecord,
     MemberState,
     Ping,
     PingRequest,
+    SyncAnswer,
+    SyncRequest,
+    pack_records,
+    unpack_records,
 )
 from egretrock.coordination.gossip._settings import GossipSettings
+from egretrock.coordination.gossip._sync import SyncSchedule
 from egretrock.state.ids import DataCentreId, Incarnation, NodeId
 
 
@@ -68,9 +79,9 @@
 
 
 _DEFAULTS = GossipSettings()
-#: Records per ack in the answer to a request for all members; a record takes
-#: 100 bytes, so each ack fits a datagram.
-_SYNC_CHUNK_RECORDS = 10
+#: Records of an ack to a joining node, about half of them of members of its
+#: data centre. A record takes 100 bytes, so the ack fits a datagram.
+_JOIN_RECORDS = 10
 #: Sequence number of an ack that carries records and answers no ping; the
 #: numbers of pings start at 1.
 _RECORDS_ONLY_NUMBER = 0
@@ -82,7 +93,6 @@
 _JOINING_S = 2.0
 #: Weight of the newest ping in the moving average of answered pings.
 _ACK_RATIO_WEIGHT = 0.4
-_LIVE_STATES = (MemberState.ALIVE, MemberState.SUSPECT)
 
 
 class Membership:
@@ -125,6 +135,10 @@
             MemberState.ALIVE,
         )
         self._members: dict[NodeId, Member] = {}
+        self._digest = ListDigest()
+        self._digest.toggle(self._own_record)
+        self._sync = SyncSchedule(settings, rng, now_s)
+        self._join_interval_s = settings.join_s
         self._cached_view: _View | None = None
         self._ping_order: list[NodeId] = []
         self._pending_pings: dict[int, _PendingPing] = {}
@@ -136,7 +150,6 @@
         self._next_seek_s = now_s
         self._started_s = now_s
         self._is_recently_started = True
-        self._next_sync_s = now_s
         self._nodes_to_ping: set[NodeId] = set()
         self._unreported_changes: list[MemberRecord] = []
 
@@ -167,7 +180,7 @@
                 *(
                     member.record
                     for member in self._members.values()
-                    if member.record.state in _LIVE_STATES
+                    if member.record.state in LIVE_STATES
                 ),
             )
             member_count = 1 + sum(
@@ -245,7 +258,7 @@
     def incarnation_of(self, node: NodeId) -> Incarnation | None:
         """Returns the process of a member, or None if it is not alive."""
         member = self._members.get(node)
-        if member is None or member.record.state not in _LIVE_STATES:
+        if member is None or member.record.state not in LIVE_STATES:
             return None
         return member.record.incarnation
 
@@ -303,13 +316,17 @@
         """Handles a message of the protocol."""
         if sender.node == self.node:
             return []
-        # An ack with this number is part of a full sync, or returns a record
-        # to the node that it is about. Its records have already spread in
-        # the fleet and are not piggybacked again.
-        is_sync = isinstance(body, Ack) and body.number == _RECORDS_ONLY_NUMBER
-        self._merge_records(body.records, now_s, spreads=not is_sync)
-        outdated = self._merge_sender_record(sender, body.records, now_s)
-        out = self._handle(body, sender, now_s)
+        out = []
+        outdated = None
+        if isinstance(body, (Ping, Ack, PingRequest)):
+            # An ack with this number returns a record to the node that it is
+            # about; the record has already spread in the fleet.
+            spreads = (
+                not isinstance(body, Ack) or body.number != _RECORDS_ONLY_NUMBER
+            )
+            self._merge_records(body.records, now_s, spreads)
+            outdated = self._merge_sender_record(sender, body.records, now_s)
+        out += self._handle(body, sender, now_s)
         if outdated is not None:
             # The sender must raise its version before other nodes accept
             # that it is alive; the outdated record makes it do so.
@@ -320,23 +337,18 @@
 
     @_handle.register
     def _(self, body: Ping, sender: Peer, now_s: float) -> list[Outbound]:
-        ack = Ack(body.number, self._records_to_send(), len(self.alive_nodes()))
+        records = self._records_to_send()
+        if body.is_joining:
+            records = self._records_for_joining(sender.node)
+        ack = Ack(body.number, records, self._digest.total)
         out = [Outbound(sender.node, ack)]
-        out += self._request_sync(sender, body.alive_count, now_s)
-        if body.wants_all:
-            records = [m.record for m in self._members.values()]
-            for start in range(0, len(records), _SYNC_CHUNK_RECORDS):
-                chunk = records[start : start + _SYNC_CHUNK_RECORDS]
-                out.append(
-                    Outbound(sender.node, Ack(_RECORDS_ONLY_NUMBER, chunk))
-                )
-        return out
+        return out + self._request_sync(sender, body.view, now_s)
 
     @_handle.register
     def _(self, body: Ack, sender: Peer, now_s: float) -> list[Outbound]:
         if self._pending_pings.pop(body.number, None) is not None:
             self._ack_ratio += _ACK_RATIO_WEIGHT * (1.0 - self._ack_ratio)
-        out = self._request_sync(sender, body.alive_count, now_s)
+        out = self._request_sync(sender, body.view, now_s)
         relayed = self._relayed_pings.pop(body.number, None)
         if relayed is not None:
             forwarded = Ack(relayed.number, body.records)
@@ -353,12 +365,49 @@
         )
         return [Outbound(body.node, Ping(number, self._records_to_send()))]
 
+    @_handle.register
+    def _(
+        self, body: SyncRequest, sender: Peer, now_s: float
+    ) -> list[Outbound]:
+        try:
+            buckets = self._digest.differing_buckets(body.digests)
+        except ValueError:
+            self._counters.increment("gossip.bad_sync")
+            return []
+        if not buckets or not self._sync.take_answer(now_s):
+            return []
+        known = [self._own_record, *(m.record for m in self._members.values())]
+        self._counters.increment("gossip.syncs_answered")
+        return [
+            Outbound(sender.node, answer)
+            for answer in pack_records(records_in(known, buckets))
+        ]
+
+    @_handle.register
+    def _(self, body: SyncAnswer, sender: Peer, now_s: float) -> list[Outbound]:
+        del sender
+        try:
+            records = unpack_records(body)
+        except UnpackError:
+            self._counters.increment("gossip.bad_sync")
+            return []
+        # The records have already spread in the fleet and are not
+        # piggybacked again.
+        if self._merge_records(records, now_s, spreads=False):
+            self._sync.on_news(now_s)
+        return []
+
     # Pings.
 
     def _ping_seeds(self, now_s: float) -> list[Outbound]:
         """Pings all seeds, or one missing node once members are known."""
         is_alone = len(self.alive_nodes()) == 1
-        period_s = self._settings.join_s if is_alone else self._settings.seek_s
+        period_s = self._settings.seek_s
+        if is_alone:
+            period_s = self._join_interval_s
+            self._join_interval_s = min(
+                2 * self._join_interval_s, self._settings.max_join_s
+            )
         self._next_seek_s = now_s + period_s * (0.8 + 0.4 * self._rng.random())
         if is_alone:
             nodes = self._seeds
@@ -373,7 +422,12 @@
             self._rng.shuffle(missing)
             nodes = missing[:1]
         number = self._next_number()
-        ping = Ping(number, self._records_to_send(), wants_all=is_alone)
+        ping = Ping(
+            number,
+            self._records_to_send(),
+            is_joining=is_alone,
+            view=self._digest.total,
+        )
         return [Outbound(node, ping) for node in nodes]
 
     def _next_peer(self) -> NodeId | None:
@@ -395,27 +449,52 @@
         self._rng.shuffle(self._ping_order)
         return self._ping_order.pop() if self._ping_order else None
 
-    def _ping(
-        self, node: NodeId, now_s: float, wants_all: bool = False
-    ) -> Outbound:
+    def _ping(self, node: NodeId, now_s: float) -> Outbound:
         number = self._next_number()
         self._pending_pings[number] = _PendingPing(node, now_s)
-        alive_count = len(self.alive_nodes())
         return Outbound(
             node,
-            Ping(number, self._records_to_send(), wants_all, alive_count),
+            Ping(number, self._records_to_send(), view=self._digest.total),
         )
 
     def _request_sync(
-        self, sender: Peer, alive_count: int, now_s: float
+        self, sender: Peer, view: int, now_s: float
     ) -> list[Outbound]:
-        """Requests all records from a member that knows more members."""
-        if alive_count <= len(self.alive_nodes()) or now_s < self._next_sync_s:
+        """Requests the records by which a peer's list differs.
+
+        Where the peer is in another data centre and no request to it is due,
+        a member of this node's data centre is asked, which may have them.
+        """
+        member = self._members.get(sender.node)
+        if not view or view == self._digest.total or member is None:
             return []
-        self._next_sync_s = (
-            now_s + alive_count / self._settings.sync_members_per_s
-        )
-        return [self._ping(sender.node, now_s, wants_all=True)]
+        own, *others = self.alive_records()
+        local = [r.node for r in others if r.data_centre == own.data_centre]
+        node = sender.node
+        if member.record.data_centre == own.data_centre or not local:
+            is_due = self._sync.take_local(now_s)
+        elif self._sync.take_remote(len(local) + 1, now_s):
+            is_due = True
+        else:
+            node = self._rng.choice(local)
+            is_due = self._sync.take_local(now_s)
+        if not is_due:
+            return []
+        return [Outbound(node, SyncRequest(self._digest.buckets[:]))]
+
+    def _records_for_joining(self, node: NodeId) -> list[MemberRecord]:
+        """Returns this node's record and those of members near a node."""
+        own, *others = self.alive_records()
+        others = [record for record in others if record.node != node]
+        self._rng.shuffle(others)
+        member = self._members.get(node)
+        if member is not None:
+            data_centre = member.record.data_centre
+            local = [r for r in others if r.data_centre == data_centre]
+            local = local[: _JOIN_RECORDS // 2]
+            remote = [r for r in others if r not in local]
+            others = local + remote
+        return [own, *others[: _JOIN_RECORDS - 1]]
 
     def _check_pending_pings(self, now_s: float) -> list[Outbound]:
         """Starts indirect pings of silent members, then suspects them."""
@@ -467,7 +546,7 @@
                     member.record, state=MemberState.GONE
                 )
                 self._set_record(record, now_s)
-            elif state not in _LIVE_STATES and age_s >= settings.remember_s:
+            elif state not in LIVE_STATES and age_s >= settings.remember_s:
                 del self._members[node]
                 self._cached_view = None
 
@@ -475,12 +554,16 @@
 
     def _merge_records(
         self, records: Iterable[MemberRecord], now_s: float, spreads: bool
-    ) -> None:
+    ) -> bool:
+        """Keeps the newer records; returns whether there was one."""
+        any_newer = False
         for record in records:
             if record.node == self.node:
                 self._refute(record)
             elif self._is_newer(record, now_s):
                 self._set_record(record, now_s, spreads)
+                any_newer = True
+        return any_newer
 
     def _merge_sender_record(
         self, sender: Peer, records: Iterable[MemberRecord], now_s: float
@@ -500,7 +583,7 @@
             return None
         current = member.record
         if (
-            current.state in _LIVE_STATES
+            current.state in LIVE_STATES
             and current.incarnation == sender.incarnation
         ):
             return None
@@ -508,7 +591,7 @@
             if (
                 record.node == sender.node
                 and record.incarnation == sender.incarnation
-                and record.state in _LIVE_STATES
+                and record.state in LIVE_STATES
             ):
                 self._set_record(record, now_s)
                 return current
@@ -554,12 +637,12 @@
             # these members, though.
             is_joining = now_s - self._started_s < _JOINING_S
             is_gone = record.state is MemberState.GONE
-            return record.state in _LIVE_STATES or (is_joining and is_gone)
+            return record.state in LIVE_STATES or (is_joining and is_gone)
         current = member.record
         if record.incarnation != current.incarnation:
             if record.incarnation in member.ended:
                 return False
-            if current.state not in _LIVE_STATES:
+            if current.state not in LIVE_STATES:
                 # Wall clocks jump, so the order of start times proves nothing.
                 return True
             return (record.started_ms, record.incarnation) > (
@@ -594,6 +677,8 @@
                         *list(ended)[:_KEPT_EARLIER_PROCESSES],
                     }
                 ) - {record.incarnation}
+            self._digest.toggle(current.record)
+        self._digest.toggle(record)
         self._members[record.node] = Member(record, now_s, sends, ended)
         if record.state is MemberState.LEFT:
             self._leaving_until_s[record.node] = now_s + self._settings.stop_s
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_messages.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from egretrock.coordination.base import Message
+from egretrock.coordination.base import Message, pack_value, unpack_value
 from egretrock.state.ids import DataCentreId, Incarnation, NodeId
 
 
@@ -54,14 +54,15 @@
     Attributes:
         number: Sequence number, which the ack repeats.
         records: Piggybacked member records, the sender's own first.
-        wants_all: Whether the sender requests the records of all members.
-        alive_count: Members alive in the view of the sender.
+        is_joining: Whether the sender knows no member yet; the ack then
+            carries records of members near the sender.
+        view: Digest of the sender's member list; 0 if not given.
     """
 
     number: int
     records: Sequence[MemberRecord] = msgspec.field(default=(), name="news")
-    wants_all: bool = False
-    alive_count: int = msgspec.field(default=0, name="alive")
+    is_joining: bool = False
+    view: int = 0
 
 
 class Ack(Message, frozen=True, omit_defaults=True, tag="gossip.ack"):
@@ -70,13 +71,12 @@
     Attributes:
         number: Number of the ping; 0 if the message only carries records.
         records: Member records.
-        alive_count: Members alive in the view of the sender; 0 if not
-            given.
+        view: Digest of the sender's member list; 0 if not given.
     """
 
     number: int
     records: Sequence[MemberRecord] = msgspec.field(default=(), name="news")
-    alive_count: int = msgspec.field(default=0, name="alive")
+    view: int = 0
 
 
 class PingRequest(
@@ -96,4 +96,53 @@
     records: Sequence[MemberRecord] = msgspec.field(default=(), name="news")
 
 
-GOSSIP_MESSAGES = (Ping, Ack, PingRequest)
+class SyncRequest(Message, frozen=True, tag="gossip.sync_request"):
+    """Requests the records in the buckets whose digests differ.
+
+    Attributes:
+        digests: Digest of each bucket of the sender's member list.
+    """
+
+    digests: Sequence[int]
+
+
+class SyncAnswer(Message, frozen=True, tag="gossip.sync"):
+    """Carries a part of a member list.
+
+    Attributes:
+        data: Packed member records; see ``pack_records``.
+    """
+
+    data: bytes
+
+
+#: Records of one ``SyncAnswer``. A packed record takes 25 bytes, mostly its
+#: incarnation, and base64 adds a third, so each answer fits a datagram.
+_RECORDS_PER_ANSWER = 30
+#: Largest size of the unpacked records of an answer.
+_MAX_UNPACKED_BYTES = 100_000
+
+
+def pack_records(records: Sequence[MemberRecord]) -> list[SyncAnswer]:
+    """Returns the messages that carry some records.
+
+    Example:
+        >>> pack_records([])
+        []
+    """
+    return [
+        SyncAnswer(pack_value(records[start : start + _RECORDS_PER_ANSWER]))
+        for start in range(0, len(records), _RECORDS_PER_ANSWER)
+    ]
+
+
+def unpack_records(answer: SyncAnswer) -> list[MemberRecord]:
+    """Returns the records that ``pack_records`` packed.
+
+    Raises:
+        UnpackError: If the data is damaged or too large.
+    """
+    return unpack_value(answer.data, list[MemberRecord], _MAX_UNPACKED_BYTES)
+
+
+GOSSIP_MESSAGES = (Ping, Ack, PingRequest, SyncRequest, SyncAnswer)
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_settings.py
@@ -16,14 +16,20 @@
         remember_s: Seconds for which a member that is gone still counts as
             part of the fleet: it may be serving on the other side of a
             partition.
-        join_s: Seconds between two pings of the seeds while no other member
-            is known.
+        join_s: Seconds between the first two pings of the seeds while no
+            other member is known; the interval doubles with each ping.
+        max_join_s: Longest interval between these pings. Seeds on which a
+            whole fleet calls at once answer late, and more pings would make
+            them later.
         seek_s: Seconds between two pings of a missing seed or a gone member
             once members are known; they merge fleets that started apart.
-        sync_members_per_s: Rate, in members a second, at which a node
-            requests full member lists from members that know more of them
-            than it does. When a whole fleet starts at once there are more
-            records to spread than pings can carry.
+        sync_s: Seconds between two comparisons of member lists with peers
+            of the same data centre, while the lists differ.
+        max_sync_s: Longest interval between these; it doubles with each
+            comparison that brings nothing new.
+        remote_syncs_per_s: Comparisons per second with other data centres by
+            all nodes of a data centre together.
+        sync_answers_per_s: Comparisons that a node answers per second.
         records_per_message: Member records piggybacked on a message.
         helpers: Members asked to ping a member that does not answer.
         stop_s: Seconds for which a member that announced that it leaves may
@@ -40,8 +46,12 @@
     gone_s: float = 0.6
     remember_s: float = 30.0
     join_s: float = 0.1
+    max_join_s: float = 0.4
     seek_s: float = 1.0
-    sync_members_per_s: float = 200.0
+    sync_s: float = 0.1
+    max_sync_s: float = 0.4
+    remote_syncs_per_s: float = 8.0
+    sync_answers_per_s: float = 20.0
     records_per_message: int = 6
     helpers: int = 2
     stop_s: float = 6.0
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
     Directory,
+    FirstRead,
 )
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, Membership
 from egretrock.coordination.probing import TargetChooser, TargetSubsets
@@ -172,7 +173,7 @@
             now_s,
             settings.directory,
             counters,
-            self._must_read_at_once,
+            self._first_read,
         )
         self.publication = ConfigView(self.directory, self._platform)
         self.rates = PooledRates(
@@ -379,17 +380,19 @@
 
     # Reads of the platform.
 
-    def _must_read_at_once(self) -> bool:
-        """Returns whether the first read must not wait for the peers' data.
+    def _first_read(self) -> FirstRead:
+        """Returns the urgency of the first read of the platform.
 
-        It must not wait if this node is a seed, on which the nodes of a
-        starting fleet depend, or if callers wait to be accepted.
+        The nodes of a starting fleet depend on the seeds, and callers may wait
+        to be accepted.
         """
         if self.settings.node in self.settings.seeds:
-            return True
+            return FirstRead.IMMEDIATE
         listener = self._caller_socket
         # A listening socket is readable while a connection is in its backlog.
-        return listener is None or bool(select.select([listener], [], [], 0)[0])
+        if listener is None or select.select([listener], [], [], 0)[0]:
+            return FirstRead.URGENT
+        return FirstRead.RELAXED
 
     # Published configuration.
 
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
@@ -9,6 +9,7 @@
     DIRECTORY_MESSAGES,
     Change,
     Directory,
+    FirstRead,
     ReadKind,
     ReadRequest,
 )
@@ -118,7 +119,11 @@
             self.membership.alive_records,
             rng,
             now_s,
-            reads_immediately=lambda: node in fleet.seeds,
+            first_read=lambda: (
+                FirstRead.IMMEDIATE
+                if node in fleet.seeds
+                else FirstRead.RELAXED
+            ),
         )
         self.rates = PooledRates(
             self.membership, fleet.organisations.get, now_s, fleet.quota
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
@@ -22,11 +22,17 @@
         duplication: Probability that a message is duplicated.
         delay_s: Minimum and maximum delay in seconds; messages with
             different delays may be reordered.
+        handling_s: Processor time of a node for each message that it
+            receives or sends. Messages that arrive meanwhile wait.
+        backlog_limit: Messages that may wait at a node; further ones are
+            lost, as in the receive buffer of a socket.
     """
 
     loss: float = 0.0
     duplication: float = 0.0
     delay_s: tuple[float, float] = (0.001, 0.002)
+    handling_s: float = 0.0
+    backlog_limit: int = 250
 
 
 @dataclasses.dataclass
@@ -37,6 +43,8 @@
     tick_s: float
     frozen: bool = False
     queued: list[tuple[Peer, Message]] = dataclasses.field(default_factory=list)
+    busy_until_s: float = 0.0
+    backlog_count: int = 0
 
 
 class VirtualNetwork:
@@ -111,6 +119,9 @@
         entry = self._nodes.get(sender)
         if entry is None:
             return
+        entry.busy_until_s = max(entry.busy_until_s, self.now_s) + (
+            self.faults.handling_s * len(messages)
+        )
         for message in messages:
             self.sent_count += 1
             if self.on_send is not None:
@@ -140,6 +151,38 @@
         if entry.frozen:
             entry.queued.append((sender, message.body))
             return
+        if not self.faults.handling_s:
+            self._handle(entry, sender, message)
+        elif entry.backlog_count < self.faults.backlog_limit:
+            entry.backlog_count += 1
+            self.call_at(
+                max(entry.busy_until_s, self.now_s),
+                self._handle_waiting,
+                entry,
+                sender,
+                message,
+            )
+
+    def _handle_waiting(
+        self, entry: _Node, sender: Peer, message: Outbound
+    ) -> None:
+        if self._nodes.get(message.to) is not entry:
+            return
+        if entry.busy_until_s > self.now_s:
+            # Messages that arrived earlier took until then.
+            self.call_at(
+                entry.busy_until_s,
+                self._handle_waiting,
+                entry,
+                sender,
+                message,
+            )
+            return
+        entry.backlog_count -= 1
+        entry.busy_until_s = self.now_s + self.faults.handling_s
+        self._handle(entry, sender, message)
+
+    def _handle(self, entry: _Node, sender: Peer, message: Outbound) -> None:
         replies = entry.on_message(sender, message.body, self.now_s)
         self.send(message.to, replies)
 
