Keep the retry budget of a fleet where a share is below one retry

Cause: a bucket of less than one token was rounded up to one, so 1,000 nodes could save 1,000 retries where their budget of 430 allows for 129. Change: a try of such a node spends the fraction that is there, and is allowed when the spent fractions, from a random phase on, pass a whole number. A full bucket keeps for a second what the last call earned.

--- a/packages/egretrock-core/src/egretrock/coordination/retries/_policy.py
+++ b/packages/egretrock-core/src/egretrock/coordination/retries/_policy.py
@@ -1,6 +1,7 @@
 """Decides whether a failed attempt may be retried."""
 
 import enum
+import random
 from collections.abc import Callable
 
 import msgspec
@@ -13,6 +14,9 @@
 #: Size of the bucket of a retry budget, in seconds of the minimum rate. It
 #: bounds the extra load when many calls start to fail at once.
 BUCKET_SIZE_S = 10.0
+#: Seconds for which a full share of less than one token keeps what the last
+#: call earned; most calls that fail do so in that time.
+EARNED_KEPT_S = 1.0
 #: Minimum time to the deadline for a retry; an attempt that cannot finish in
 #: time only adds load.
 MIN_REMAINING_S = 0.01
@@ -88,9 +92,18 @@
 
     Earns a fraction of a token per first attempt, and a minimum per second.
 
+    A node whose share of a fleet's budget is below one token can never save a
+    whole one, and a rounded share would exceed the budget of the fleet. With
+    ``phase`` each try then spends the fraction that is there, and is allowed
+    when the sum of the spent fractions and ``phase`` passes a whole number.
+    With phases that are drawn evenly from 0 to 1, the retries of many nodes
+    add up to the fractions that they spent.
+
     Args:
         now_s: Start time.
         initial_tokens: Retries available at the start.
+        phase: Fraction from 0 to 1 for the budget of a fleet; None to round a
+            bucket of less than one token up to one.
 
     Example:
         >>> budget = RetryBudget(0.0)
@@ -101,30 +114,63 @@
         (True, False)
     """
 
-    def __init__(self, now_s: float, initial_tokens: float = 0.0) -> None:
+    def __init__(
+        self,
+        now_s: float,
+        initial_tokens: float = 0.0,
+        phase: float | None = None,
+    ) -> None:
         self._tokens = initial_tokens
         self._updated_s = now_s
+        self._spent_fraction = phase
+        self._earned_s = float("-inf")
 
     def on_first_attempt(self, profile: RetryProfile, now_s: float) -> None:
         """Counts the first attempt of a call."""
-        self._refill(profile.budget_ratio, profile, now_s)
+        self._refill(profile, self._saved_limit(profile), now_s)
+        self._earned_s = now_s
+        limit = self._limit(profile, now_s)
+        self._tokens = min(limit, self._tokens + profile.budget_ratio)
 
     def take(self, profile: RetryProfile, now_s: float) -> bool:
         """Takes a token for one retry; returns False if there is none."""
-        self._refill(0.0, profile, now_s)
-        if self._tokens < 1.0:
+        self._refill(profile, self._limit(profile, now_s), now_s)
+        if self._tokens >= 1.0:
+            self._tokens -= 1.0
+            return True
+        if self._spent_fraction is None or self._saved_limit(profile) >= 1.0:
             return False
-        self._tokens -= 1.0
+        self._spent_fraction += self._tokens
+        self._tokens = 0.0
+        if self._spent_fraction < 1.0:
+            return False
+        self._spent_fraction -= 1.0
         return True
 
+    def _saved_limit(self, profile: RetryProfile) -> float:
+        """Returns the tokens that may be saved for later."""
+        size = BUCKET_SIZE_S * profile.min_per_s
+        return size if self._spent_fraction is not None else max(1.0, size)
+
+    def _limit(self, profile: RetryProfile, now_s: float) -> float:
+        """Returns the tokens that may be held, with those just earned.
+
+        A share of less than one token would otherwise have no room for what
+        the call that fails has earned.
+        """
+        limit = self._saved_limit(profile)
+        is_recent = now_s - self._earned_s <= EARNED_KEPT_S
+        if self._spent_fraction is not None and limit < 1.0 and is_recent:
+            limit += profile.budget_ratio
+        return limit
+
     def _refill(
-        self, earned: float, profile: RetryProfile, now_s: float
+        self, profile: RetryProfile, limit: float, now_s: float
     ) -> None:
         elapsed_s = max(0.0, now_s - self._updated_s)
         self._updated_s = max(now_s, self._updated_s)
-        max_tokens = max(1.0, BUCKET_SIZE_S * profile.min_per_s)
-        tokens = self._tokens + earned + elapsed_s * profile.min_per_s
-        self._tokens = min(max_tokens, tokens)
+        tokens = self._tokens + elapsed_s * profile.min_per_s
+        self._tokens = min(limit, tokens)
 
 
 class RetryPolicy:
@@ -135,8 +181,10 @@
         has_evidence: Returns whether there is crash evidence against a
             fingerprint.
         counters: Metrics; ``retries.<reason>`` counts the retries.
-        starts_full: Whether a budget starts with a full bucket. The bound
-            over the fleet must then allow for one full bucket per restart.
+        rng: Random source for profiles that are a node's share of a budget of
+            the whole fleet; None if each node has a budget of its own. Shares
+            start with a full bucket, so the bound over the fleet must allow
+            for one bucket per restart.
     """
 
     def __init__(
@@ -144,10 +192,10 @@
         profile_of: Callable[[ServiceId], RetryProfile],
         has_evidence: Callable[[Fingerprint, float], bool],
         counters: Counters | None = None,
-        starts_full: bool = False,
+        rng: random.Random | None = None,
     ) -> None:
         self._profile_of = profile_of
-        self._starts_full = starts_full
+        self._rng = rng
         self._has_evidence = has_evidence
         self._counters = counters or NullCounters()
         self._budgets: dict[ServiceId, RetryBudget] = {}
@@ -202,12 +250,13 @@
     def _budget(self, service: ServiceId, now_s: float) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            initial_tokens = 0.0
-            if self._starts_full:
-                initial_tokens = (
-                    BUCKET_SIZE_S * self._profile_of(service).min_per_s
+            budget = RetryBudget(now_s)
+            if self._rng is not None:
+                min_per_s = self._profile_of(service).min_per_s
+                budget = RetryBudget(
+                    now_s, BUCKET_SIZE_S * min_per_s, self._rng.random()
                 )
-            budget = self._budgets[service] = RetryBudget(now_s, initial_tokens)
+            self._budgets[service] = budget
         return budget
 
     def _may_crash(
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -208,7 +208,7 @@
             self._retry_profile_of,
             self.quarantine.has_evidence,
             counters,
-            starts_full=True,
+            rng=rng,
         )
         self.router = MessageRouter(counters)
         self.router.register(GOSSIP_MESSAGES, self.membership)
