Refuse at once what the queue cannot serve in time

Change: the queue measures the pace at which a service takes requests while some wait, and refuses what would begin too late, with a time to return within a third of the time left, spread by the pace; requests that can meet the target latency of their route go first; a queue that is empty lets one request wait, to show when the service takes requests again.

--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -1,5 +1,10 @@
 """Deficit round robin over organisations, charged by slot time.
 
+A request that cannot begin in time is refused as soon as that is known: the
+pace at which the service takes requests, and the requests before it, tell when
+it would begin. Of the requests of one organisation, those that can still be
+answered within their target latency go before those that cannot.
+
 The slot time of a request is the time for which it occupies a slot of a
 target.
 
@@ -11,12 +16,13 @@
 
 import collections
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import msgspec
 from expression import Error, Ok, Result
 
 from egretrock.coordination.base import Counters, NullCounters
+from egretrock.coordination.queueing._forecast import ReturnTimes, ServicePace
 from egretrock.state.ids import OrganisationId, ServiceId, TicketId
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 
@@ -37,8 +43,16 @@
 #: Maximum number of requests in flight of one organisation whose estimates are
 #: kept.
 MAX_CHARGED = 10_000
-#: Delay after which the caller of a refused request is told to retry.
+#: Delay after which the caller of a refused request is told to retry while
+#: the pace of the service is not known.
 RETRY_AFTER_MS = 100
+#: Share of the forecast wait that is trusted: a request is refused only if it
+#: would be late even if the service became this much faster.
+FORECAST_SHARE = 0.9
+#: Share of the mean slot time that even a short request needs.
+MIN_SLOT_SHARE = 0.5
+#: Period at which waiting requests are checked against the forecast.
+FORECAST_PERIOD_S = 0.05
 
 
 class QueuedRequest(msgspec.Struct, frozen=True):
@@ -49,12 +63,14 @@
         service: Service that serves it.
         organisation: Organisation it belongs to.
         deadline_s: Time from which it must not be sent to a target.
+        objective_s: Time until which its answer has its full value.
     """
 
     ticket: TicketId
     service: ServiceId
     organisation: OrganisationId
     deadline_s: float
+    objective_s: float = math.inf
 
 
 class _QueueEntry(msgspec.Struct):
@@ -81,6 +97,22 @@
 
     def pop(self, newest: bool = False) -> _QueueEntry:
         entry = self.backlog.pop() if newest else self.backlog.popleft()
+        return self._removed(entry)
+
+    def feasible_index(self, now_s: float) -> int | None:
+        """Returns the index of the oldest request that can be in time."""
+        for index, entry in enumerate(self.backlog):
+            objective_s = min(entry.item.objective_s, entry.item.deadline_s)
+            if now_s + entry.estimate_s <= objective_s:
+                return index
+        return None
+
+    def pop_at(self, index: int) -> _QueueEntry:
+        entry = self.backlog[index]
+        del self.backlog[index]
+        return self._removed(entry)
+
+    def _removed(self, entry: _QueueEntry) -> _QueueEntry:
         # An empty backlog is exactly 0, without accumulated rounding errors.
         remaining_s = self.backlog_s - entry.estimate_s
         self.backlog_s = remaining_s if self.backlog else 0.0
@@ -95,6 +127,57 @@
         )
         self.size = 0
         self.estimate_s = DEFAULT_SLOT_TIME_S
+        self.pace = ServicePace()
+        self.returns = ReturnTimes()
+        self.next_forecast_s = 0.0
+
+
+class _QueueView(msgspec.Struct):
+    """What waits for a service at one moment.
+
+    Attributes:
+        feasible: For each organisation, its weight and its requests that can
+            meet their objective.
+        feasible_count: Sum of those requests.
+        late_deadlines_s: Deadlines of the other requests.
+    """
+
+    feasible: dict[OrganisationId, tuple[_Flow, int]]
+    feasible_count: int
+    late_deadlines_s: list[float]
+
+    def count_ahead(self, flow: _Flow, position: int) -> int:
+        """Returns how many feasible requests are served before one.
+
+        Args:
+            flow: Requests of its organisation.
+            position: Requests of the organisation before it.
+        """
+        rounds = (position + 1) / flow.weight
+        ahead_count = 0
+        for other, count in self.feasible.values():
+            if other is flow:
+                ahead_count += min(position, count)
+            else:
+                ahead_count += min(count, math.ceil(rounds * other.weight))
+        return ahead_count
+
+
+def _view(queue: _ServiceQueue, now_s: float) -> _QueueView:
+    view = _QueueView({}, 0, [])
+    for organisation in queue.active_organisations:
+        flow = queue.flows[organisation]
+        count = 0
+        for entry in flow.backlog:
+            item = entry.item
+            objective_s = min(item.objective_s, item.deadline_s)
+            if now_s + entry.estimate_s <= objective_s:
+                count += 1
+            else:
+                view.late_deadlines_s.append(item.deadline_s)
+        view.feasible[organisation] = (flow, count)
+        view.feasible_count += count
+    return view
 
 
 class FairQueue:
@@ -119,6 +202,7 @@
         self._counters = counters or NullCounters()
         self._services: dict[ServiceId, _ServiceQueue] = {}
         self._evicted: list[QueuedRequest] = []
+        self._forecast_refusals: dict[TicketId, Refusal] = {}
         self._expired: list[QueuedRequest] = []
 
     def size(self, service: ServiceId) -> int:
@@ -147,6 +231,17 @@
         queue = self._services.setdefault(item.service, _ServiceQueue())
         flow = self._flow(queue, item.organisation)
         estimate_s = flow.estimate_s or queue.estimate_s
+        queue.pace.on_offer(now_s)
+        refusal = None
+        # With an empty queue one request waits, to show when the service takes
+        # requests again.
+        if queue.size and queue.pace.per_s(now_s) is not None:
+            entry, position = _QueueEntry(item, estimate_s), len(flow.backlog)
+            refusal = self._forecast_refusal(
+                queue, flow, _view(queue, now_s), entry, position, now_s
+            )
+        if refusal is not None:
+            return Error(refusal)
         if not flow.backlog:
             queue.active_organisations.append(item.organisation)
         flow.backlog.append(_QueueEntry(item, estimate_s))
@@ -160,18 +255,22 @@
         if evicted_item is not item:
             self._evicted.append(evicted_item)
             return Ok(None)
-        return Error(self.full_refusal(item))
+        return Error(self._full_refusal(item))
 
     def take_evicted(self) -> list[QueuedRequest]:
         """Returns the requests that were evicted since the last call.
 
-        The caller answers each with ``full_refusal``.
+        The caller answers each with ``refusal_of``.
         """
         evicted, self._evicted = self._evicted, []
         return evicted
 
-    def full_refusal(self, item: QueuedRequest) -> Refusal:
-        """Returns the refusal of a request that does not fit the queue."""
+    def refusal_of(self, item: QueuedRequest) -> Refusal:
+        """Returns the refusal of an evicted request; call it once for each."""
+        refusal = self._forecast_refusals.pop(item.ticket, None)
+        return refusal if refusal is not None else self._full_refusal(item)
+
+    def _full_refusal(self, item: QueuedRequest) -> Refusal:
         limit = self._max_waiting_of(item.service)
         return Refusal(
             RefusalCode.QUEUE_FULL,
@@ -194,10 +293,21 @@
             self._drop_expired(queue, organisation, now_s)
         if not queue.active_organisations:
             return None
-        organisation = self._next_organisation(queue)
+        feasible = {
+            organisation: index
+            for organisation in queue.active_organisations
+            if (index := queue.flows[organisation].feasible_index(now_s))
+            is not None
+        }
+        organisation = self._next_organisation(
+            queue, feasible or queue.active_organisations
+        )
         flow = queue.flows[organisation]
-        entry = flow.pop()
+        entry = flow.pop_at(feasible.get(organisation, 0))
         queue.size -= 1
+        queue.pace.on_take(now_s)
+        if not queue.size:
+            queue.pace.on_empty()
         flow.deficit_s -= entry.estimate_s
         flow.charged_estimates_s.append(entry.estimate_s)
         if not flow.backlog:
@@ -234,10 +344,16 @@
             queue.estimate_s = _moving_average(queue.estimate_s, slot_time_s)
 
     def expire(self, now_s: float) -> list[QueuedRequest]:
-        """Removes the requests whose deadline has passed and returns them."""
+        """Removes the requests whose deadline has passed and returns them.
+
+        Those that the forecast shows to be late are evicted.
+        """
         for service, queue in list(self._services.items()):
             for organisation in list(queue.active_organisations):
                 self._drop_expired(queue, organisation, now_s)
+            if now_s >= queue.next_forecast_s:
+                queue.next_forecast_s = now_s + FORECAST_PERIOD_S
+                self._evict_late(queue, now_s)
             for organisation, flow in list(queue.flows.items()):
                 if flow.backlog or flow.charged_estimates_s:
                     flow.idle_since_s = now_s
@@ -249,6 +365,79 @@
         self._counters.increment("queue.expired", len(expired))
         return expired
 
+    def _evict_late(self, queue: _ServiceQueue, now_s: float) -> None:
+        """Evicts the requests that will not be served in time."""
+        if queue.pace.per_s(now_s) is None:
+            return
+        view = _view(queue, now_s)
+        for organisation in list(queue.active_organisations):
+            flow = queue.flows[organisation]
+            for index in reversed(range(len(flow.backlog))):
+                entry = flow.backlog[index]
+                refusal = self._forecast_refusal(
+                    queue, flow, view, entry, index, now_s
+                )
+                if refusal is None:
+                    continue
+                flow.pop_at(index)
+                queue.size -= 1
+                self._evicted.append(entry.item)
+                self._forecast_refusals[entry.item.ticket] = refusal
+            if not flow.backlog:
+                self._deactivate(queue, organisation)
+
+    def _forecast_refusal(
+        self,
+        queue: _ServiceQueue,
+        flow: _Flow,
+        view: _QueueView,
+        entry: _QueueEntry,
+        position: int,
+        now_s: float,
+    ) -> Refusal | None:
+        """Returns the refusal of a request that will not be served in time.
+
+        Args:
+            queue: Queue of its service.
+            flow: Requests of its organisation.
+            view: What waits for the service.
+            entry: The request.
+            position: Requests of the organisation before it.
+            now_s: Time.
+        """
+        pace_per_s = queue.pace.per_s(now_s)
+        if pace_per_s is None:
+            return None
+        item = entry.item
+        ahead_count = view.count_ahead(flow, position)
+        wait_s = (ahead_count + 1) / pace_per_s
+        trusted_s = FORECAST_SHARE * wait_s
+        objective_s = min(item.objective_s, item.deadline_s)
+        if now_s + trusted_s + entry.estimate_s <= objective_s:
+            return None
+        # It gives way to all requests that can meet their objective, also to
+        # those that will arrive.
+        late_count = view.feasible_count + sum(
+            at_s < item.deadline_s for at_s in view.late_deadlines_s
+        )
+        surplus_per_s = queue.pace.surplus_per_s(now_s)
+        wait_s = max(wait_s, (late_count + 1) / surplus_per_s)
+        left_s = item.deadline_s - now_s
+        needed_s = FORECAST_SHARE * wait_s + MIN_SLOT_SHARE * entry.estimate_s
+        if needed_s <= left_s:
+            return None
+        self._counters.increment("queue.refused_early")
+        return Refusal(
+            RefusalCode.QUEUE_FULL,
+            RunState.NOT_RUN,
+            f"{ahead_count} requests of {item.service!r} are served before it,"
+            f" {pace_per_s:.1f} a second; it would begin in {wait_s:.2f} s and"
+            f" has {left_s:.2f} s",
+            round(
+                1000 * queue.returns.retry_after_s(left_s, pace_per_s, now_s)
+            ),
+        )
+
     def _flow(
         self, queue: _ServiceQueue, organisation: OrganisationId
     ) -> _Flow:
@@ -260,16 +449,15 @@
         flow.weight = weight
         return flow
 
-    def _next_organisation(self, queue: _ServiceQueue) -> OrganisationId:
-        """Returns the organisation whose turn it is.
+    def _next_organisation(
+        self, queue: _ServiceQueue, eligible: Collection[OrganisationId]
+    ) -> OrganisationId:
+        """Returns the eligible organisation whose turn it is.
 
         Where no organisation has credit, all are credited at once for as
         many rounds as the first of them needs, instead of round by round.
         """
-        flows = [
-            queue.flows[organisation]
-            for organisation in queue.active_organisations
-        ]
+        flows = [queue.flows[organisation] for organisation in eligible]
         mean_weight = sum(flow.weight for flow in flows) / len(flows)
         rounds = math.inf
         for flow in flows:
@@ -284,7 +472,10 @@
         while True:
             organisation = queue.active_organisations[0]
             queue.active_organisations.rotate(-1)
-            if queue.flows[organisation].deficit_s > 0:
+            if (
+                organisation in eligible
+                and queue.flows[organisation].deficit_s > 0
+            ):
                 # An organisation keeps its turn while it has credit.
                 queue.active_organisations.rotate(1)
                 return organisation
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/queueing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/queueing_steps.py
@@ -14,7 +14,7 @@
     "order": (
         FairQueue,
         "_next_organisation",
-        lambda _, queue: queue.active_organisations[0],
+        lambda _, queue, eligible: queue.active_organisations[0],
     ),
     "debt": (_queue, "DEBT_RETENTION_S", -1.0),
     "expiry": (FairQueue, "_drop_expired", lambda *_: None),
@@ -217,8 +217,10 @@
                 queue.report_slot_time(item.organisation, "s", lifetime_s)
         else:
             removed += [item.ticket for item in queue.expire(now_s)]
+            removed += [evicted.ticket for evicted in queue.take_evicted()]
         assert queue.size("s") <= 10, queue.size("s")
     removed += [item.ticket for item in queue.expire(now_s + 10.0)]
+    removed += [evicted.ticket for evicted in queue.take_evicted()]
     assert sorted(removed) == list(range(1, offered_count + 1)), removed
 
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -75,6 +75,8 @@
         headers: Header fields to forward to the target.
         query: Query without any key.
         deadline_s: Time at which the exchange ends in any case.
+        objective_s: Time until which an answer has its full value to the
+            caller; the deadline where the route states none.
         caller_deadline_ms: Milliseconds from the head's arrival until the
             deadline that the caller set, or None.
         run_state: Whether a target may have run the request so far.
@@ -99,6 +101,7 @@
         self.request_id = request_id
         self.started_s = now_s
         self.deadline_s = now_s
+        self.objective_s = now_s
         self.caller_deadline_ms: float | None = None
         self.match: RouteMatch | None = None
         self.organisation: OrganisationId | None = None
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -204,6 +204,7 @@
             ) and self._is_worth_abandoning(exchange):
                 self._abandon_silent(exchange)
         self._parts.queue.expire(now_s)
+        self._refuse_evicted()
         self.poll(now_s)
 
     def poll(self, now_s: float) -> None:
@@ -288,6 +289,9 @@
         if exchange.caller_deadline_ms is not None:
             deadline_ms = min(deadline_ms, exchange.caller_deadline_ms)
         exchange.deadline_s = now_s + deadline_ms / 1000
+        exchange.objective_s = exchange.deadline_s
+        if match.route.target_latency_ms is not None:
+            exchange.objective_s = now_s + match.route.target_latency_ms / 1000
         if match.route.access is Access.KEYED:
             if key is None:
                 message = "the route needs a key and the request has none"
@@ -483,6 +487,7 @@
             service=exchange.match.route.service,
             organisation=exchange.organisation or NO_ORGANISATION,
             deadline_s=exchange.deadline_s,
+            objective_s=exchange.objective_s,
         )
         queue = self._parts.queue
         offered = queue.offer(item, now_s)
@@ -493,14 +498,20 @@
             return
         exchange.queue_ticket = ticket
         self._queued[ticket] = exchange
-        for evicted in queue.take_evicted():
-            other = self._queued.get(evicted.ticket)
-            if other is not None:
-                self.cancel_pending(other, AttemptOutcome.UNUSED)
-                other.refuse(queue.full_refusal(evicted))
+        self._refuse_evicted()
         if not exchange.is_done:
             self._ask_permit(exchange, now_s)
 
+    def _refuse_evicted(self) -> None:
+        """Refuses the requests that the queue has evicted."""
+        queue = self._parts.queue
+        for evicted in queue.take_evicted():
+            refusal = queue.refusal_of(evicted)
+            exchange = self._queued.get(evicted.ticket)
+            if exchange is not None:
+                self.cancel_pending(exchange, AttemptOutcome.UNUSED)
+                exchange.refuse(refusal)
+
     def _ask_permit(self, exchange: Exchange, now_s: float) -> None:
         exchange.stage = Stage.QUEUED
         self._send(
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -99,6 +99,14 @@
         """Removes and returns the requests whose deadline has passed."""
         ...
 
+    def take_evicted(self) -> list[QueuedRequest]:
+        """Returns the requests that were evicted since the last call."""
+        ...
+
+    def refusal_of(self, item: QueuedRequest) -> Refusal:
+        """Returns the refusal of an evicted request."""
+        ...
+
 
 class PermitPort(Protocol):
     """The methods of ``TargetClient`` that the pipeline uses."""
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -133,7 +133,7 @@
     queue = context.parts.queue
     queue.take_evicted.return_value = [queue.items.pop(0)]
     full = Refusal(RefusalCode.QUEUE_FULL, RunState.NOT_RUN, "full")
-    queue.full_refusal = Mock(return_value=full)
+    queue.refusal_of = Mock(return_value=full)
     first = context.caller
     start(context)
     context.caller = first
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -69,7 +69,7 @@
         self.items = []
         self.offer = lambda item, now_s: self.items.append(item) or Ok(None)
         self.take_evicted = Mock(return_value=[])
-        self.full_refusal, self.report_slot_time, self.expire = (
+        self.refusal_of, self.report_slot_time, self.expire = (
             Mock(),
             Mock(),
             Mock(),
