End a request whose target sends interim answers without end

Cause: each interim head reset the count of head bytes, so a target that sent them without end held its request and a connection until the deadline. Change: the limit on a head holds for all interim heads of a request together. Test: bytes without end in a status line, header fields, interim answers, the size line of a chunk and trailers; the one on interim answers failed before.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
@@ -89,3 +89,13 @@
     When both readers are killed and an entry is written
     And 1.9 seconds pass
     Then every node has the entry
+
+  # Pattern: a fleet starts within a second on slow processors. Seeds that
+  # answered late were asked again by all, and asked for more than they could
+  # send.
+  Scenario: A fleet of 312 nodes starts on slow processors
+    Given 312 nodes in 6 data centres that start within a second
+    When 5 seconds pass while each message takes 0.4 ms to handle
+    Then every node lists all 312 nodes, and none was declared gone
+    And the data centres sent each other at most 15 MB
+    And all nodes together called the platform at most 400 times
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
@@ -2,7 +2,11 @@
 
 from behave import given, then, when
 
+from egretrock.coordination.base import Peer
 from egretrock.coordination.directory import DIRECTORY_MESSAGES
+from egretrock.coordination.gossip import GOSSIP_MESSAGES, MemberState
+from egretrock.state.ids import Incarnation, NodeId
+from egretrock_node.protocol.peers import Codec
 from egretrock_standins.virtual import DiscoveredFleet, Faults
 
 FIRST_KEY, NEW_KEY = "servers/first", "servers/new"
@@ -220,3 +224,55 @@
 def step_lacks_first_entry(context):
     for name, process in context.fleet.nodes.items():
         assert FIRST_KEY not in process.directory.entries(), name
+
+
+@given("{count:d} nodes in 6 data centres that start within a second")
+def step_staggered_start(context, count):
+    fleet = context.fleet = DiscoveredFleet(1, count, data_centres=6)
+    fleet.store.put("config", fleet.rng.randbytes(9000))
+    for node in fleet.node_ids:
+        fleet.network.call_at(fleet.rng.random(), fleet.start, node)
+    # The targets register while the nodes start.
+    for number in range(161):
+        entry = fleet.rng.randbytes(60) + b"x" * 90
+        fleet.network.call_at(
+            2 * fleet.rng.random(), fleet.store.put, f"s/{number}", entry
+        )
+
+
+@when("5 seconds pass while each message takes 0.4 ms to handle")
+def step_run_slowly(context):
+    fleet = context.fleet
+    fleet.network.faults.handling_s = 0.0004
+    messages = (*GOSSIP_MESSAGES, *DIRECTORY_MESSAGES)
+    codec = Codec(Peer(NodeId("10.0.0.1:7000"), Incarnation(2**62)), messages)
+    data_centre_of = {n: i % 6 for i, n in enumerate(fleet.node_ids)}
+    context.crossing_bytes = 0
+
+    def count(sender, message):
+        if data_centre_of[sender] != data_centre_of[message.to]:
+            size = sum(map(len, codec.encode([message.body])))
+            context.crossing_bytes += size
+
+    fleet.network.on_send = count
+    fleet.run_for(5.0)
+
+
+@then("every node lists all {count:d} nodes, and none was declared gone")
+def step_complete_views(context, count):
+    for name, process in context.fleet.nodes.items():
+        alive_count = len(process.membership.alive_nodes())
+        assert alive_count == count, f"{name} lists {alive_count}"
+        changes = process.membership.take_home_changes()
+        gone = [r.node for r in changes if r.state is MemberState.GONE]
+        assert not gone, f"{name} declared {gone} gone"
+
+
+@then("the data centres sent each other at most {limit:d} MB")
+def step_crossing_bytes(context, limit):
+    assert context.crossing_bytes <= limit * 1e6, context.crossing_bytes
+
+
+@then("all nodes together called the platform at most {limit:d} times")
+def step_calls(context, limit):
+    assert context.fleet.store.read_count <= limit
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
@@ -263,7 +263,11 @@
         if status < 200:
             if status == 101:
                 raise AnswerError("status 101 was not asked for")
+            # The limit holds for all interim heads of a request together, as
+            # a target may send them without end.
+            head_bytes = self._head_bytes
             self._reset()
+            self._head_bytes = head_bytes
             return
         length = self._body_length()
         head = AnswerHead(status, self._reason, self._fields, length)
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -95,6 +95,57 @@
     assert node.counters.counts["refusals.target_failed"] == count
 
 
+#: Start of an answer, and the bytes that follow it without end.
+ENDLESS_ANSWERS = {
+    "a status line": (b"HTTP/1.1 200 ", b"O" * 4096),
+    "header fields": (b"HTTP/1.1 200 OK\r\n", b"A: b\r\n" * 500),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 100),
+    "a size line of a chunk": (CHUNKED + b"\r\n5;", b"e" * 4096),
+    "trailer fields": (CHUNKED + b"\r\n0\r\n", b"A: b\r\n" * 500),
+}
+
+
+def send_without_end(context, start, more):
+    def answer(connection):
+        try:
+            connection.sendall(start)
+            until_s = time.monotonic() + 10.0
+            while time.monotonic() < until_s:
+                connection.sendall(more)
+        except OSError:
+            # The node closed the connection.
+            context.closed_s = time.monotonic()
+        return False
+
+    return answer
+
+
+@then("a caller gets {end} within 2 s when a target sends {kind} without end")
+def step_endless(context, end, kind):
+    node, target = start_harness(context)
+    context.closed_s = None
+    target.script = [send_without_end(context, *ENDLESS_ANSWERS[kind])]
+    started_s = time.monotonic()
+    caller = node.caller(GET + b"\r\n")
+    if end == "502":
+        check_refusal(caller, 502, "unknown")
+    else:
+        received = read_to_end(caller.socket)
+        assert not received.endswith(b"0\r\n\r\n"), received[-100:]
+    assert time.monotonic() - started_s < 2.0
+    wait_until(lambda: context.closed_s is not None)
+
+
+def read_to_end(connection):
+    received = b""
+    try:
+        while data := connection.recv(10_000):
+            received += data
+    except ConnectionResetError:
+        pass
+    return received
+
+
 @then("the caller's connection is reset")
 def step_reset(context):
     node, target = start_harness(context)
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
@@ -6,6 +6,17 @@
   Scenario: An answer with a malformed head or framing is not passed on
     Then each of 9 malformed answers gives 502 with run state unknown
 
+  Scenario Outline: Bytes without end from a target end the request
+    Then a caller gets <end> within 2 s when a target sends <bytes> without end
+
+    Examples:
+      | bytes                  | end                  |
+      | a status line          | 502                  |
+      | header fields          | 502                  |
+      | interim answers        | 502                  |
+      | a size line of a chunk | an incomplete answer |
+      | trailer fields         | an incomplete answer |
+
   Scenario: A truncated answer does not look complete to an HTTP/1.0 caller
     Then the caller's connection is reset
 
