--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/load_patterns.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/load_patterns.feature
@@ -25,6 +25,8 @@
     When it is played
     Then the time waited in vain is at most a tenth of that without the forecast
     And at least as many requests are answered within their target latency
+    And no refused request has waited until its deadline
+    And each refusal tells a time to return before the deadline
 
   Scenario: A load that the service can serve is not refused
     Given the load pattern "steady load below the capacity"
