--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from egretrock.coordination.base import Counters, NullCounters, Outbound
+from egretrock.coordination.bounds import LimitReport, TargetBounds
 from egretrock.coordination.probing._readings import (
     Candidate,
     LoadProbe,
@@ -66,6 +67,7 @@
         settings: Settings.
         counters: Metrics.
         node_count: Returns the number of nodes that share the probe budget.
+        bounds: Bounds on the requests that all nodes send to a target.
         on_probes_due: Called when there are new probes to send, while the
             chooser is updating its state; must not send them before it
             returns.
@@ -80,7 +82,9 @@
         counters: Counters | None = None,
         node_count: Callable[[], int] = lambda: 1,
         on_probes_due: Callable[[], None] = lambda: None,
+        bounds: TargetBounds | None = None,
     ) -> None:
+        self._bounds = bounds or TargetBounds()
         self._on_probes_due = on_probes_due
         self._node_count = node_count
         self._targets_of = targets_of
@@ -162,6 +166,13 @@
         del service, target, now_s
         return []
 
+    def on_limit_reported(
+        self, target: TargetId, report: LimitReport, now_s: float
+    ) -> list[Outbound]:
+        """Records the limit that an answer of a target tells."""
+        self._bounds.on_report(target, report, now_s)
+        return []
+
     # Probes.
 
     def has_demand(self) -> bool:
@@ -516,6 +527,7 @@
         del self._service_of[ticket_id]
         chosen.occupancy += 1
         self._stats[chosen.id].on_sent(now_s)
+        self._bounds.on_send(chosen.id)
         permit = Permit(
             next(self._id_sequence),
             ticket.service,
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -14,6 +14,7 @@
     ignore_message,
     partition_of,
 )
+from egretrock.coordination.bounds import LimitReport
 from egretrock.coordination.targets._fleet import FleetView
 from egretrock.coordination.targets._messages import (
     MAX_LIST_BYTES,
@@ -392,6 +393,13 @@
         self._disconnect(client, target)
         return []
 
+    def on_limit_reported(
+        self, target: TargetId, report: LimitReport, now_s: float
+    ) -> list[Outbound]:
+        """Does nothing: the protocol of these targets has no such field."""
+        del target, report, now_s
+        return []
+
     def last_summary(
         self, service: ServiceId, now_s: float
     ) -> dict[TargetId, SummaryEntry]:
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -20,6 +20,7 @@
     Peer,
     TimerService,
 )
+from egretrock.coordination.bounds import TargetBounds
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
     Directory,
@@ -183,6 +184,7 @@
             settings.quota,
             counters,
         )
+        self.bounds = TargetBounds(counters)
         self.chooser = TargetChooser(
             self.publication.usable_targets,
             TargetSubsets(
@@ -197,6 +199,7 @@
             counters,
             self.membership.serving_count,
             self._on_probes_due,
+            self.bounds,
         )
         self.queue = FairQueue(
             self.publication.weight_of, self._queue_limit_of, counters
@@ -481,7 +484,16 @@
         self._log_changes()
 
     def _log_changes(self) -> None:
-        """Logs changes of the membership and of the homes of rates."""
+        """Logs changes of members, of the homes of rates and of bounds."""
+        for change in self.bounds.take_changes():
+            _log.info(
+                "target bound",
+                extra={
+                    "target": change.target,
+                    "kind": change.kind.value,
+                    "rate_per_s": change.rate_per_s,
+                },
+            )
         for record in self.membership.take_home_changes():
             _log.info(
                 "member",
@@ -528,6 +540,7 @@
         gauge("directory.revision", directory.revision)
         gauge("directory.age_s", directory.age_s(self.clock()))
         gauge("directory.is_reader", float(directory.is_reader()))
+        gauge("bounds.targets", self.bounds.bounded_count)
         gauge("platform.reads_fail", float(directory.reads_fail))
         return 200, metrics_text(self.counters)
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from egretrock.coordination.bounds import LimitReport
 from egretrock.coordination.targets import TargetCondition
 from egretrock.state.ids import InstanceId, OrganisationId, RequestId
 from egretrock_node.protocol.http._headers import HeaderList
@@ -33,12 +34,15 @@
         not_run: Whether the target reports that it did not run the request.
         authentic: Whether the answer is proven to come from the target itself,
             for example by a signature; otherwise it is treated as damaged.
+        limit: Limit on the requests of all nodes, or None if the answer does
+            not tell whether the target has one.
     """
 
     instance: InstanceId | None
     condition: TargetCondition | None
     not_run: bool
     authentic: bool = True
+    limit: LimitReport | None = None
 
 
 _CONDITIONS = {c.value.encode(): c for c in TargetCondition}
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -457,6 +457,8 @@
         self._status = head.status
         self._instance, self._condition = answer.instance, answer.condition
         self._pipeline.on_instance_seen(self.permit.target, answer.instance)
+        if answer.limit is not None:
+            self._pipeline.on_limit_reported(self.permit.target, answer.limit)
         if answer.not_run:
             self.handle.discard()
             draining = answer.condition is TargetCondition.DRAINING
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -6,6 +6,7 @@
 import logbook
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.bounds import LimitReport
 from egretrock.coordination.idempotency import (
     BeginOutcome,
     BeginResult,
@@ -754,6 +755,12 @@
             self._suspicions.on_answered(target, instance, now_s), now_s
         )
 
+    def on_limit_reported(self, target: TargetId, report: LimitReport) -> None:
+        """Passes on what an answer says about the limit of its target."""
+        self._send(
+            self._parts.permits.on_limit_reported(target, report, self.now())
+        )
+
     def on_attempt_answered(
         self, exchange: Exchange, attempt: Attempt, result: AttemptResult
     ) -> None:
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -7,6 +7,7 @@
 from expression import Result
 
 from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.bounds import LimitReport
 from egretrock.coordination.idempotency import BeginResult, RecordKey
 from egretrock.coordination.queueing import QueuedRequest
 from egretrock.coordination.retries import (
@@ -153,6 +154,12 @@
         """Called when the last connection to a target is closed."""
         ...
 
+    def on_limit_reported(
+        self, target: TargetId, report: LimitReport, now_s: float
+    ) -> list[Outbound]:
+        """Called when an answer tells the limit of its target."""
+        ...
+
 
 class RetryPort(Protocol):
     """The methods of ``RetryPolicy`` that the pipeline uses."""
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -94,6 +94,7 @@
         self.may_dispatch = Mock(return_value=True)
         self.on_connection_lost = Mock(return_value=[])
         self.on_pool_empty = Mock(return_value=[])
+        self.on_limit_reported = Mock(return_value=[])
 
     def request(
         self, ticket, service, organisation, excluded, deadline_s, now_s
