Keep the whole fleet within the limit that a target names

Cause: no node read the field. It was passed on to the caller with the rest of the answer, and the choice of a target knew only load readings, which make a target that asks for less look idle and so attractive.

`coordination.bounds` holds the bound over all nodes: the home of a target grants tokens at the bound's rate, from a pool that starts empty and grows by the share of the fleet that the home reaches. Nodes learn of a bound from answers, from the home's news and from its answers to asks; the newest observation wins. A target without a token is passed over, and one that is exhausted is not probed either.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -5,7 +5,11 @@
 from collections.abc import Callable, Mapping, Sequence
 
 from egretrock.coordination.base import Counters, NullCounters, Outbound
-from egretrock.coordination.bounds import LimitReport, TargetBounds
+from egretrock.coordination.bounds import (
+    LimitReport,
+    TargetBounds,
+    Unbounded,
+)
 from egretrock.coordination.probing._readings import (
     Candidate,
     LoadProbe,
@@ -47,7 +51,8 @@
         AttemptOutcome.TIMEOUT,
     }
 )
-
+#: Outcomes of permits without a request that reached the target.
+_NOT_SENT = frozenset({AttemptOutcome.UNUSED, AttemptOutcome.CONNECT_FAILED})
 
 _DEFAULTS = ChoiceSettings()
 
@@ -82,9 +87,9 @@
         counters: Counters | None = None,
         node_count: Callable[[], int] = lambda: 1,
         on_probes_due: Callable[[], None] = lambda: None,
-        bounds: TargetBounds | None = None,
+        bounds: TargetBounds | Unbounded | None = None,
     ) -> None:
-        self._bounds = bounds or TargetBounds()
+        self._bounds = bounds or Unbounded()
         self._on_probes_due = on_probes_due
         self._node_count = node_count
         self._targets_of = targets_of
@@ -136,6 +141,8 @@
         stats = self._stats.get(permit.target)
         if stats is not None:
             stats.on_finished()
+        if result.outcome in _NOT_SENT:
+            self._bounds.on_not_sent(permit.target, now_s)
         if stats is None or result.outcome is AttemptOutcome.UNUSED:
             return []
         if result.outcome is AttemptOutcome.CONNECT_FAILED:
@@ -269,7 +276,9 @@
             self._add_candidate(probe_round, target_id, stats, now_s)
             candidate = probe_round.candidates.get(target_id)
             if candidate is not None and not (
-                self._is_eligible(candidate) and self._has_room(candidate)
+                self._is_eligible(candidate)
+                and self._has_room(candidate)
+                and self._is_within_bounds(candidate, now_s)
             ):
                 del probe_round.candidates[target_id]
             if len(probe_round.candidates) >= self.settings.unprobed_choices:
@@ -359,6 +368,8 @@
                     continue
                 if stats is not None and now_s < stats.next_probe_s:
                     continue
+                if self._bounds.is_exhausted(target_id, now_s):
+                    continue
                 is_slow = self._is_likely_slow(stats, now_s)
                 (slow if is_slow else fast).append(target_id)
             self._rng.shuffle(fast)
@@ -433,7 +444,7 @@
         """Finishes a round, widens it, or leaves it waiting for answers."""
         if probe_round.is_finished:
             return
-        if not self._has_good_candidate(probe_round):
+        if not self._has_good_candidate(probe_round, now_s):
             if not probe_round.is_widened and self._may_widen(
                 probe_round, now_s
             ):
@@ -459,14 +470,30 @@
             or now_s >= self._round_deadline_s(probe_round)
         )
 
-    def _has_good_candidate(self, probe_round: ProbeRound) -> bool:
+    def _has_good_candidate(
+        self, probe_round: ProbeRound, now_s: float
+    ) -> bool:
         for candidate in probe_round.candidates.values():
             self._update_candidate(candidate)
             is_good = candidate.cost() <= self.settings.good_cost
-            if is_good and self._is_eligible(candidate):
+            if (
+                is_good
+                and self._is_eligible(candidate)
+                and self._bounds.may_send(candidate.id, now_s)
+            ):
                 return True
         return False
 
+    def _is_within_bounds(self, candidate: Candidate, now_s: float) -> bool:
+        """Returns whether the bounds of a target allow a request now.
+
+        If not, asks the home of the target for the next request.
+        """
+        if self._bounds.may_send(candidate.id, now_s):
+            return True
+        self._bounds.want(candidate.id, now_s)
+        return False
+
     def _is_eligible(self, candidate: Candidate) -> bool:
         reading = candidate.reading
         if not reading.healthy or reading.cold_s > 0 or reading.slots < 1:
@@ -497,9 +524,12 @@
                 if candidate.id not in ticket.excluded
                 and self._has_room(candidate)
             ]
-            if not usable:
+            usable.sort(key=lambda candidate: candidate.cost())
+            best = next(
+                (c for c in usable if self._is_within_bounds(c, now_s)), None
+            )
+            if best is None:
                 continue
-            best = min(usable, key=lambda candidate: candidate.cost())
             if assigned_count and (
                 assigned_count >= wanted_count or not best.free_slots
             ):
@@ -527,7 +557,7 @@
         del self._service_of[ticket_id]
         chosen.occupancy += 1
         self._stats[chosen.id].on_sent(now_s)
-        self._bounds.on_send(chosen.id)
+        self._bounds.on_send(chosen.id, now_s)
         permit = Permit(
             next(self._id_sequence),
             ticket.service,
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -20,7 +20,7 @@
     Peer,
     TimerService,
 )
-from egretrock.coordination.bounds import TargetBounds
+from egretrock.coordination.bounds import BOUND_MESSAGES, TargetBounds
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
     Directory,
@@ -88,6 +88,7 @@
 _ALL_MESSAGES = (
     *GOSSIP_MESSAGES,
     *DIRECTORY_MESSAGES,
+    *BOUND_MESSAGES,
     *QUOTA_MESSAGES,
     *RETRY_MESSAGES,
 )
@@ -151,6 +152,7 @@
             reactor, self._advance_timers, self.chooser.has_demand
         )
         self._is_probing_scheduled = False
+        self._is_asking_scheduled = False
 
     # Construction.
 
@@ -184,7 +186,12 @@
             settings.quota,
             counters,
         )
-        self.bounds = TargetBounds(counters)
+        self.bounds = TargetBounds(
+            self.membership,
+            settings.bounds,
+            counters,
+            self._on_bound_messages_due,
+        )
         self.chooser = TargetChooser(
             self.publication.usable_targets,
             TargetSubsets(
@@ -216,6 +223,7 @@
         self.router = MessageRouter(counters)
         self.router.register(GOSSIP_MESSAGES, self.membership)
         self.router.register(DIRECTORY_MESSAGES, self.directory)
+        self.router.register(BOUND_MESSAGES, self.bounds)
         self.router.register(QUOTA_MESSAGES, self.rates)
         self.router.register(RETRY_MESSAGES, self.quarantine)
 
@@ -406,6 +414,12 @@
             return
         self._accept(now_s)
         self.rates.set_organisations(published.config.organisations, now_s)
+        listed = {
+            target
+            for service in published.config.services.values()
+            for target in service.targets
+        }
+        self.bounds.retain(listed, now_s)
         limits = published.limits
         if limits is not None:
             self.callers.settings = replace(
@@ -466,6 +480,16 @@
         self._ticker.wake()
         self.prober.send()
 
+    def _on_bound_messages_due(self) -> None:
+        """Schedules the messages of the bounds after their current call."""
+        if not self._is_asking_scheduled:
+            self._is_asking_scheduled = True
+            self._reactor.callLater(0, self._send_bound_messages)
+
+    def _send_bound_messages(self) -> None:
+        self._is_asking_scheduled = False
+        self.send(self.bounds.take_messages())
+
     def _on_probe_answer(self) -> None:
         self.pipeline.poll(self.clock())
 
@@ -474,6 +498,7 @@
             self.membership,
             self.directory,
             self.rates,
+            self.bounds,
             self.quarantine,
         ):
             self.send(part.on_tick(now_s))
--- a/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from egretrock.coordination.bounds import BoundSettings
 from egretrock.coordination.directory import DirectorySettings
 from egretrock.coordination.gossip import GossipSettings
 from egretrock.coordination.probing import ChoiceSettings, SubsetSettings
@@ -47,6 +48,7 @@
         gossip: Settings of the membership.
         directory: Settings of the shared directory.
         quota: Settings of the pooled rates.
+        bounds: Settings of the bounds of targets.
         choice: Settings of the choice of targets.
         subsets: Settings of the subsets of targets that this node uses.
         retries: Retry budget of the fleet.
@@ -65,6 +67,7 @@
     gossip: GossipSettings = GossipSettings()
     directory: DirectorySettings = DirectorySettings()
     quota: QuotaSettings = QuotaSettings()
+    bounds: BoundSettings = BoundSettings()
     choice: ChoiceSettings = ChoiceSettings()
     subsets: SubsetSettings = SubsetSettings()
     retries: RetryBudgetSettings = RetryBudgetSettings()
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -21,6 +21,7 @@
     node_id,
     vms_json,
 )
+from egretrock_standins.virtual._limited_target import LimitedTarget
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 from egretrock_standins.virtual._targets import (
     TargetSimulation,
@@ -36,6 +37,7 @@
     "Faults",
     "FleetHistory",
     "FleetView",
+    "LimitedTarget",
     "PlatformView",
     "PublishedRevision",
     "TargetSimulation",
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from egretrock.coordination.base import Message, Outbound, Peer
+from egretrock.coordination.bounds import BOUND_MESSAGES, TargetBounds
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
     Change,
@@ -93,7 +94,7 @@
 
 
 class DiscoveredNode:
-    """One process of a node: its membership, directory and rates."""
+    """One process of a node: membership, directory, rates and bounds."""
 
     def __init__(
         self,
@@ -129,6 +130,7 @@
             self.membership, fleet.organisations.get, now_s, fleet.quota
         )
         self.rates.set_organisations(fleet.organisations, now_s)
+        self.bounds = TargetBounds(self.membership)
         self._is_reading = False
         self._read_number = 0
 
@@ -140,6 +142,8 @@
             part = self.membership
         elif isinstance(body, DIRECTORY_MESSAGES):
             part = self.directory
+        elif isinstance(body, BOUND_MESSAGES):
+            part = self.bounds
         else:
             part = self.rates
         return self._handle_own(part.on_message(sender, body, now_s), now_s)
@@ -147,7 +151,12 @@
     def on_tick(self, now_s: float) -> list[Outbound]:
         """Ticks the parts and starts a read of the store if one is due."""
         out = []
-        for part in (self.membership, self.directory, self.rates):
+        for part in (
+            self.membership,
+            self.directory,
+            self.rates,
+            self.bounds,
+        ):
             out += part.on_tick(now_s)
         self._start_read(now_s)
         return self._handle_own(out, now_s)
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
@@ -91,6 +91,11 @@
         """Freezes a node; messages to it are queued."""
         self._nodes[node].frozen = True
 
+    def is_frozen(self, node: NodeId) -> bool:
+        """Returns whether a node is frozen."""
+        entry = self._nodes.get(node)
+        return entry is not None and entry.frozen
+
     def resume(self, node: NodeId) -> None:
         """Wakes a frozen node and delivers its queued messages."""
         entry = self._nodes[node]
