--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_target_protocol.py
@@ -107,15 +107,18 @@
         del name
         return False
 
-    def is_answer_to(self, headers: HeaderList, request_id: bytes) -> bool:
+    def is_answer_to(
+        self, status: int, headers: HeaderList, request_id: bytes
+    ) -> bool:
         """Returns whether an answer belongs to the waiting request.
 
         Args:
+            status: Status of the answer.
             headers: Fields of the answer.
             request_id: Id of the waiting request; empty for the node's own
                 requests, such as probes.
         """
-        del headers, request_id
+        del status, headers, request_id
         return True
 
     def cancel_request(
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
@@ -272,7 +272,7 @@
         length = self._body_length()
         head = AnswerHead(status, self._reason, self._fields, length)
         self._is_stray = not self._pool.protocol.is_answer_to(
-            self._fields, self._attempt.request_id
+            status, self._fields, self._attempt.request_id
         )
         if self._attempt.is_head or status in _STATUSES_WITHOUT_BODY:
             decoder = None
