Refuse late in a planned stop what cannot end before it

Report of another operator: in a planned stop in calm, requests that came late in the grace were passed on and cut at its end, among them ones that may not be repeated.

It can happen here: callers got 502 for a payout that an instance ran, or no answer. A node that stops passed on every request on its open connections until the end of its drain, whatever time the request had.

Once the node accepts no more connections, it refuses a request whose deadline is after the end of the drain, as not run, to return at once on a new connection, which reaches another node.

--- a/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
+++ b/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
@@ -117,6 +117,11 @@
         """Whether a drain has begun."""
         return self.state is not DrainState.SERVING
 
+    @property
+    def ends_s(self) -> float:
+        """Time at which a drain that has begun aborts the open requests."""
+        return self._drain_started_s + self._settings.deadline_s
+
     def start(self, now_s: float) -> None:
         """Starts the drain; a second call has no effect."""
         if self.state is DrainState.SERVING:
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -99,6 +99,9 @@
 _MAX_UNUSABLE_PERMITS = 20
 #: Requests of one organisation that may wait for a token at the same time.
 _MAX_TOKEN_WAITERS = 500
+#: When a caller may return that a stopping node refuses: at once, as a new
+#: connection reaches another node.
+_DRAIN_RETRY_AFTER_MS = 1
 _OUTCOME_BY_REASON = {
     RetryReason.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
     RetryReason.CONNECTION_LOST: AttemptOutcome.LOST,
@@ -171,6 +174,7 @@
         self._suspicions = CrashSuspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
         self._refuses_new = False
+        self._serves_until_s = float("inf")
         self._is_polling_permits = False
         self._poll_permits_again = False
 
@@ -220,6 +224,13 @@
         """Refuses all new requests from now on; used at the end of a drain."""
         self._refuses_new = True
 
+    def refuse_beyond(self, end_s: float) -> None:
+        """Refuses new requests whose deadline is after ``end_s``.
+
+        The node would abort them at the end of its drain, when they may run.
+        """
+        self._serves_until_s = end_s
+
     def snapshots(self) -> list[RequestSnapshot]:
         """Returns the requests that have no complete answer yet."""
         now_s = self.now()
@@ -301,20 +312,25 @@
             exchange.organisation = routing.organisation_of(exchange.digest)
             if exchange.organisation is None:
                 return KEY_UNKNOWN
-        refusal = self._check_node(now_s)
+        refusal = self._check_node(exchange, now_s)
         if refusal is not None or match.route.idempotent:
             return refusal
         return self._read_record_key(exchange)
 
-    def _check_node(self, now_s: float) -> Refusal | None:
+    def _check_node(self, exchange: Exchange, now_s: float) -> Refusal | None:
         fleet = self._parts.fleet
         if not fleet.is_fresh(now_s):
             return NOT_FRESH
         if not fleet.is_ready(now_s):
             return NOT_READY
-        if self._refuses_new:
+        if self._refuses_new or exchange.deadline_s > self._serves_until_s:
             message = "the node is stopping"
-            return refusal_not_run(RefusalCode.NODE_DRAINING, message)
+            return Refusal(
+                RefusalCode.NODE_DRAINING,
+                RunState.NOT_RUN,
+                message,
+                _DRAIN_RETRY_AFTER_MS,
+            )
         out_since_s = self._config_in_force.out_since_s
         if (
             out_since_s is not None
@@ -363,7 +379,7 @@
         )
         refusal = self._recheck(exchange, now_s)
         if refusal is None:
-            refusal = self._check_node(now_s)
+            refusal = self._check_node(exchange, now_s)
         if refusal is not None:
             exchange.refuse(refusal)
         elif exchange.record is None:
--- a/packages/egretrock-node/src/egretrock_node/wiring/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_node.py
@@ -57,6 +57,7 @@
     def stop_accepting(self) -> None:
         """Stops accepting; open connections close after their request."""
         self.callers.drain()
+        self.pipeline.refuse_beyond(self.draining.ends_s)
 
     def abort_requests(self) -> list[RequestSnapshot]:
         """Aborts the requests in flight and returns them."""
