Show that no beginning of an answer is a success for the caller

Report of another operator: an instance stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body.

Ruled out here: the end of a connection ends an answer only after a complete head without a length; before that it fails the attempt. The scenario cuts an answer after each of its bytes, with targets that may end an answer by closing.

--- a/packages/egretrock-node/src/egretrock_node/tests/path_world.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_world.py
@@ -56,8 +56,11 @@
 class NodeHarness:
     """A node and its targets; close it after the scenario."""
 
-    def __init__(self, target_count=1, deadline_ms=10_000, **settings):
+    def __init__(
+        self, target_count=1, deadline_ms=10_000, protocol=None, **settings
+    ):
         start_reactor()
+        self._protocol = protocol or TargetProtocol()
         self.targets = [RecordingTarget() for _ in range(target_count)]
         self.addresses = [target.address for target in self.targets]
         self.parts = make_parts(make_config(self.addresses, deadline_ms))
@@ -66,7 +69,7 @@
 
     def _open(self, settings):
         clock, counters = time.monotonic, self.counters
-        self.pool = TargetPool(reactor, clock, counters, TargetProtocol())
+        self.pool = TargetPool(reactor, clock, counters, self._protocol)
         self.pipeline = make_pipeline(self.parts, self.pool, counters)
         self.pool.observer = self.pipeline
         self.server = CallerServer(
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -2,8 +2,9 @@
 import threading
 import time
 
-from behave import then
+from behave import given, then
 
+from egretrock_node.protocol.http import TargetProtocol
 from egretrock_node.tests.path_world import (
     GET,
     KEY,
@@ -95,6 +96,26 @@
     assert node.counters.counts["refusals.target_failed"] == count
 
 
+@given("targets that may end an answer by closing the connection")
+def step_unframed(context):
+    protocol = TargetProtocol()
+    protocol.allows_answers_without_length = True
+    context.harness = NodeHarness(protocol=protocol)
+
+
+@then("no beginning of an answer with a length is a success for the caller")
+def step_beginnings(context):
+    node = context.harness
+    (target,) = node.targets
+    for length in range(len(OK)):
+        target.script = [send_and_close(OK[:length])]
+        try:
+            status, _, body = node.caller(GET + b"\r\n").read_answer()
+        except (EOFError, ConnectionError):
+            continue
+        assert status == 502, (OK[:length], status, body)
+
+
 #: Start of an answer, and the bytes that follow it without end.
 ENDLESS_ANSWERS = {
     "a status line": (b"HTTP/1.1 200 ", b"O" * 4096),
