Serve from cold targets within their warm-up rate where none is warm

Cause: the warm-up rate that services publish was not read, so cold targets got nothing at all.

The rate is a second kind of bound in `coordination.bounds`, kept by the same homes. A cold target is used only if no warm one answered, without a queue, and at half of its rate, as tokens live long beside the window of a second.

Measured in virtual time: 17 nodes that offer ten times a warm-up rate of 21 a second stay at 36 or less in any second (the bound) and use at least a quarter of the rate, under cuts, kills, freezes and restarts.

--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
@@ -83,7 +83,7 @@
         ask_sent_s: When it was sent.
         next_ask_s: Time before which the home is not asked.
         pool: Pool of the target while this node is its home.
-        announced_per_s: Rate that this node announced last.
+        announced_per_s: Named limit that this node announced last.
         next_news_s: Time before which no change is announced.
     """
 
@@ -99,6 +99,10 @@
         self.announced_per_s: float | None = None
         self.next_news_s = now_s
 
+    def named_per_s(self) -> float | None:
+        """Returns the limit that the target names, or None."""
+        return self.observations.rate_of(BoundKind.NAMED_LIMIT)
+
 
 class TargetBounds(MessageHandler):
     """Keeps what this node sends to a target within the target's bounds.
@@ -198,6 +202,25 @@
         if target in self._targets:
             self._announce(target, now_s)
 
+    def on_warm_up(
+        self, target: TargetId, rate_per_s: float | None, now_s: float
+    ) -> None:
+        """Records whether a target is cold, as it reported itself.
+
+        It is not announced: nodes ask a target whether it is cold before they
+        send a request.
+
+        Args:
+            target: Target.
+            rate_per_s: Requests per second that it takes while it is cold, or
+                None if it is warm.
+            now_s: Time of its report.
+        """
+        if rate_per_s is not None:
+            rate_per_s *= self._settings.warm_up_ratio
+        observation = Observation(rate_per_s, now_s)
+        self._merge(target, BoundKind.WARM_UP, observation)
+
     # Methods of the protocol ``Part``, messages and changes.
 
     @property
@@ -291,7 +314,7 @@
                 self._announce(body.target, now_s)
             else:
                 entry = self._targets[body.target]
-                entry.announced_per_s = entry.observations.rate_per_s()
+                entry.announced_per_s = entry.named_per_s()
         return self.take_messages()
 
     # Helpers.
@@ -351,9 +374,9 @@
         return difference_per_s > self._settings.changed_ratio * old_per_s
 
     def _announce(self, target: TargetId, now_s: float) -> None:
-        """Sends a change to the home, or as the home to all other nodes."""
+        """Sends a changed limit to the home, or as the home to all nodes."""
         entry = self._targets[target]
-        rate_per_s = entry.observations.rate_per_s()
+        rate_per_s = entry.named_per_s()
         if now_s < entry.next_news_s or not self._is_changed(
             entry.announced_per_s, rate_per_s
         ):
@@ -430,3 +453,8 @@
         self, target: TargetId, report: LimitReport, now_s: float
     ) -> None:
         """Does nothing."""
+
+    def on_warm_up(
+        self, target: TargetId, rate_per_s: float | None, now_s: float
+    ) -> None:
+        """Does nothing."""
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_reports.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_reports.py
@@ -13,9 +13,11 @@
 
     Attributes:
         NAMED_LIMIT: The target names a limit in its answers.
+        WARM_UP: The target is cold.
     """
 
     NAMED_LIMIT = "named_limit"
+    WARM_UP = "warm_up"
 
 
 class LimitReport(msgspec.Struct, frozen=True):
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_settings.py
@@ -24,6 +24,9 @@
             overtake each other on their way to different nodes.
         min_rate_per_s: Rate at which a target is sent requests however low
             its limit is, so that an answer can tell when the limit ends.
+        warm_up_ratio: Share of the rate of a cold target that is used. The
+            bound on cold targets holds in windows of one second, which is
+            short beside the lifetime of tokens.
         news_interval_s: Shortest time between two announcements of the bound
             of one target by its home.
         changed_ratio: Relative change of a rate that is announced.
@@ -38,6 +41,7 @@
     max_wait_s: float = 2.0
     lift_delay_s: float = 0.5
     min_rate_per_s: float = 0.25
+    warm_up_ratio: float = 0.5
     news_interval_s: float = 1.0
     changed_ratio: float = 0.1
     assumed_nodes: int = 10
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
@@ -45,6 +45,23 @@
       | 7.7  | 51   |
       | 40   | 245  |
 
+  # Guards against a cold target that crashes because many nodes use it.
+  Scenario Outline: A fleet stays within the warm-up rate of a cold target
+    Given 17 nodes that send 10 times the warm-up rate of 21 per second
+    When <fault>
+    Then at most 36 requests reach the target in any 1 second
+    And at least a quarter of the warm-up rate is used
+
+    Examples:
+      | fault                                                   |
+      | no fault occurs                                         |
+      | 6 nodes are partitioned off                             |
+      | the fleet splits into three                             |
+      | all nodes are killed and restarted                      |
+      | the home is killed every 3 seconds                      |
+      | the home is frozen for 2 seconds, every 3 seconds       |
+      | the home leaves, keeps serving and restarts, repeatedly |
+
   Scenario: Nodes that have not asked the target learn of its limit
     Given 17 nodes that send 10 times the limit of 4 per second
     When the limit is named to one node only
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
@@ -40,6 +40,18 @@
     context.bound_from_s = fleet.network.now_s + CONTACT_S
 
 
+@given(
+    "{count:d} nodes that send {factor:g} times the warm-up rate of {rate:g}"
+    " per second"
+)
+def step_cold(context, count, factor, rate):
+    step_nodes(context, count, factor, rate)
+    context.target.limit_per_s = None
+    context.target.warm_up_per_s = rate
+    # A cold target is known to be cold before the first request.
+    context.bound_from_s = context.fleet.network.now_s
+
+
 @when("no fault occurs")
 def step_no_fault(context):
     context.target.run(SPAN_S)
@@ -182,6 +194,21 @@
     assert bound_s, "no request was sent"
 
 
+@then("at most {count:d} requests reach the target in any 1 second")
+def step_at_most_in_second(context, count):
+    peak = max_count_in_window(context.target.sent_s, 1.0)
+    assert peak <= count, f"{peak} requests in 1 s, {count} allowed"
+    assert not context.target.unaware_s, context.target.unaware_s
+
+
+@then("at least a quarter of the warm-up rate is used")
+def step_warm_up_used(context):
+    span_s = context.fleet.network.now_s - context.bound_from_s
+    owed = context.target.warm_up_per_s * span_s
+    used = len(context.target.sent_s)
+    assert used >= owed / 4, f"{used} requests sent of {owed:g}"
+
+
 @then("at least half of the limit is used")
 def step_used(context):
     sent_s = context.target.sent_s
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -73,6 +73,8 @@
         counters: Metrics.
         node_count: Returns the number of nodes that share the probe budget.
         bounds: Bounds on the requests that all nodes send to a target.
+        warm_up_rate_of: Returns the requests per second that a cold target of
+            a service takes from all nodes, or None if it takes none.
         on_probes_due: Called when there are new probes to send, while the
             chooser is updating its state; must not send them before it
             returns.
@@ -88,7 +90,9 @@
         node_count: Callable[[], int] = lambda: 1,
         on_probes_due: Callable[[], None] = lambda: None,
         bounds: TargetBounds | Unbounded | None = None,
+        warm_up_rate_of: Callable[[ServiceId], float | None] = lambda _: None,
     ) -> None:
+        self._warm_up_rate_of = warm_up_rate_of
         self._bounds = bounds or Unbounded()
         self._on_probes_due = on_probes_due
         self._node_count = node_count
@@ -204,6 +208,7 @@
             self._counters.increment("probes.failed")
         else:
             stats.on_reading(reading, sent_s, now_s)
+            self._report_warm_up(probe, reading, now_s)
         if probe_round is None or probe_round.is_finished:
             return
         probe_round.pending_probes.discard(probe.number)
@@ -213,6 +218,14 @@
             self._add_candidate(probe_round, probe.target, stats, now_s)
         self._advance(probe_round, now_s)
 
+    def _report_warm_up(
+        self, probe: LoadProbe, reading: LoadReading, now_s: float
+    ) -> None:
+        rate_per_s = None
+        if reading.cold_s > 0:
+            rate_per_s = self._warm_up_rate_of(probe.service)
+        self._bounds.on_warm_up(probe.target, rate_per_s, now_s)
+
     def on_tick(self, now_s: float) -> list[Outbound]:
         """Finishes rounds that have timed out and starts new ones."""
         for service, demand in list(self._demands.items()):
@@ -495,12 +508,29 @@
         return False
 
     def _is_eligible(self, candidate: Candidate) -> bool:
+        """Returns whether a target is warm and able to run requests."""
+        return self._is_serving(candidate) and candidate.reading.cold_s <= 0
+
+    def _is_serving(self, candidate: Candidate) -> bool:
         reading = candidate.reading
-        if not reading.healthy or reading.cold_s > 0 or reading.slots < 1:
+        if not reading.healthy or reading.slots < 1:
             return False
         instance = reading.instance
         return instance is None or instance == candidate.id
 
+    def _eligible_candidates(self, probe_round: ProbeRound) -> list[Candidate]:
+        """Returns the warm targets, or cold ones if no target is warm."""
+        serving = [
+            candidate
+            for candidate in probe_round.candidates.values()
+            if self._is_serving(candidate)
+        ]
+        warm = [c for c in serving if c.reading.cold_s <= 0]
+        if warm or self._warm_up_rate_of(probe_round.service) is None:
+            return warm
+        # A cold target is slow, so it gets no queue.
+        return [c for c in serving if c.free_slots]
+
     def _finish_round(self, probe_round: ProbeRound, now_s: float) -> None:
         """Assigns the candidates of a round to waiting requests."""
         probe_round.is_finished = True
@@ -508,11 +538,7 @@
         demand.rounds.remove(probe_round)
         for candidate in probe_round.candidates.values():
             self._update_candidate(candidate)
-        eligible = [
-            candidate
-            for candidate in probe_round.candidates.values()
-            if self._is_eligible(candidate)
-        ]
+        eligible = self._eligible_candidates(probe_round)
         # Each round serves one request. The last one also serves the requests
         # that have no round because of ``max_rounds``.
         wanted_count = max(1, len(demand.tickets) - len(demand.rounds))
--- a/packages/egretrock-core/src/egretrock/state/config/_model.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_model.py
@@ -205,10 +205,13 @@
     Attributes:
         initial_concurrency: Concurrent requests right after the start.
         duration_s: Seconds until the target may use all of its slots.
+        rate_per_s: Requests per second that a cold target takes from all
+            gateways together; None sends it none while it is cold.
     """
 
     initial_concurrency: PositiveInt = 1
     duration_s: NonNegativeFloat = 10.0
+    rate_per_s: PositiveFloat | None = None
 
 
 class Profile(_Published, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -207,6 +207,7 @@
             self.membership.serving_count,
             self._on_probes_due,
             self.bounds,
+            self.publication.warm_up_rate_of,
         )
         self.queue = FairQueue(
             self.publication.weight_of, self._queue_limit_of, counters
--- a/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
@@ -102,6 +102,13 @@
         result = None if entry is None else entry.targets.get(target)
         return None if result is None else (result, entry.health_path)
 
+    def warm_up_rate_of(self, service: ServiceId) -> float | None:
+        """Returns the requests per second that a cold target takes, or None."""
+        if self._config is None or service not in self._config.services:
+            return None
+        profile = self._config.services[service].profile
+        return self._config.profiles[profile].warmup.rate_per_s
+
     def organisation_of(
         self, organisation: OrganisationId
     ) -> Organisation | None:
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_limited_target.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_limited_target.py
@@ -25,6 +25,8 @@
 
     Attributes:
         limit_per_s: Limit that it names, or None.
+        warm_up_per_s: Requests per second that it takes while it is cold, or
+            None while it is warm; nodes are told before each request.
         sent_s: Times of the requests of nodes that knew of a limit.
         unaware_s: Times of the requests of the other nodes.
     """
@@ -37,6 +39,7 @@
         self._demand_per_step = demand_per_s * _STEP_S
         self._waiting: list[tuple[NodeId, float]] = []
         self.limit_per_s: float | None = None
+        self.warm_up_per_s: float | None = None
         self.sent_s: list[float] = []
         self.unaware_s: list[float] = []
 
@@ -62,6 +65,8 @@
         if process is None or now_s >= until_s:
             return
         is_frozen = network.is_frozen(node)
+        if not is_frozen:
+            process.bounds.on_warm_up(self._target, self.warm_up_per_s, now_s)
         if not is_frozen and not process.bounds.may_send(self._target, now_s):
             process.bounds.want(self._target, now_s)
             process.send(process.bounds.take_messages())
