Use a connection only while its target keeps it

Callers got 502 for a request that may not be repeated when it crossed the close of an idle connection: the time that a target states in Keep-Alive was removed with the other fields of the connection and not read. A connection is now used until a quarter of a second before that time, and closed after it.

The new scenario failed before: a connection kept for 1 s was used after 0.9 s.

--- a/packages/egretrock-node/src/egretrock_node/protocol/http/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/__init__.py
@@ -25,6 +25,7 @@
     check_head,
     head_line_error,
     is_persistent,
+    keep_alive_s,
 )
 from egretrock_node.protocol.http._headers import (
     HeaderList,
@@ -74,6 +75,7 @@
     "head_line_error",
     "header_values",
     "is_persistent",
+    "keep_alive_s",
     "path_contains_key",
     "refusal_answer",
 ]
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_framing.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_framing.py
@@ -128,3 +128,27 @@
         return False
     values = header_values(headers, b"connection")
     return not values or b"close" not in split_tokens(values)
+
+
+def keep_alive_s(headers: HeaderList) -> float | None:
+    """Returns for how long the sender keeps an idle connection.
+
+    Args:
+        headers: Fields of an answer.
+
+    Returns:
+        Seconds, or None if the answer does not say so in a readable form.
+        Source: ``Keep-Alive``, RFC 2068 section 19.7.1.1.
+
+    Example:
+        >>> keep_alive_s([(b"keep-alive", b"timeout=5, max=100")])
+        5.0
+    """
+    for item in split_tokens(header_values(headers, b"keep-alive")):
+        name, _, value = item.partition(b"=")
+        if name.strip() != b"timeout":
+            continue
+        digits = value.strip()
+        if digits.isdigit() and len(digits) <= MAX_LENGTH_DIGITS:
+            return float(digits)
+    return None
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
@@ -28,6 +28,7 @@
     HeaderList,
     header_values,
     is_persistent,
+    keep_alive_s,
 )
 from egretrock_node.protocol.requests import AttemptFailure, OutgoingRequest
 
@@ -35,6 +36,9 @@
     from egretrock_node.transport.target._pool import TargetAttempt, TargetPool
 
 _MAX_HEAD_BYTES = 65_536
+#: Time before the end of a connection, as its target states it, in which a
+#: request could cross the close on its way.
+_CLOSE_MARGIN_S = 0.25
 _STATUS_LINE = re.compile(rb"(HTTP/1\.[01]) ([1-5][0-9]{2})(?: (.*))?")
 _HEADER_FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*")
 _CONTROL_CHARACTER = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
@@ -90,6 +94,8 @@
         sent_s: Time at which sending of the latest request started.
         discarding_since_s: Time since which the rest of an answer is read and
             discarded, or None.
+        idle_limit_s: Idle time after which it is not used any more, because
+            the target closes it soon.
         is_unusable: Whether it must not be used for another request.
     """
 
@@ -103,6 +109,7 @@
         self.answered_s = 0.0
         self.sent_s = 0.0
         self.discarding_since_s: float | None = None
+        self.idle_limit_s = float("inf")
         self.is_unusable = False
         self._attempt: TargetAttempt | None = None
         self._is_request_sent = True
@@ -287,6 +294,9 @@
                 length, self._on_body, self._on_body_end
             )
         self._is_persistent = is_persistent(self._version, self._fields)
+        kept_s = keep_alive_s(self._fields)
+        if kept_s is not None:
+            self.idle_limit_s = max(0.0, kept_s - _CLOSE_MARGIN_S)
         if decoder is not None:
             self.switchToBodyMode(decoder)
         if self._is_stray:
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -333,7 +333,11 @@
         oldest_s = now_s - self.settings.max_idle_s
         for connections in list(self._idle.values()):
             for connection in list(connections):
-                if connection.answered_s < oldest_s:
+                idle_s = now_s - connection.answered_s
+                if (
+                    connection.answered_s < oldest_s
+                    or idle_s > connection.idle_limit_s
+                ):
                     connections.remove(connection)
                     connection.close()
         oldest_s = now_s - self.settings.max_discard_s
@@ -366,9 +370,13 @@
         )
         while connections:
             connection = connections[-1]
-            if self.now() - connection.answered_s > idle_limit_s:
+            idle_s = self.now() - connection.answered_s
+            if idle_s > idle_limit_s:
                 return None
             connections.pop()
+            if idle_s > connection.idle_limit_s:
+                connection.close()
+                continue
             if connection.is_unusable:
                 continue  # Already closing.
             if connection.is_still_idle():
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -2,7 +2,7 @@
 import threading
 import time
 
-from behave import given, then
+from behave import given, then, when
 
 from egretrock_node.protocol.http import TargetProtocol
 from egretrock_node.tests.path_world import (
@@ -116,6 +116,26 @@
         assert status == 502, (OK[:length], status, body)
 
 
+@given("a target that keeps idle connections for {keep_s:d} second")
+def step_keep_alive(context, keep_s):
+    _, target = start_harness(context)
+    field = f"\r\nKeep-Alive: timeout={keep_s}, max=100\r\n\r\n".encode()
+    target.script = [OK.replace(b"\r\n\r\n", field, 1)]
+
+
+@when("a request is answered and another follows after {pause_s:g} seconds")
+def step_pause(context, pause_s):
+    for _ in range(2):
+        assert context.harness.caller().status(GET + b"\r\n") == 200
+        time.sleep(pause_s)
+
+
+@then("the second request is sent on a new connection")
+def step_new_connection(context):
+    first, second = context.harness.targets[0].head_connections
+    assert first is not second
+
+
 #: Start of an answer, and the bytes that follow it without end.
 ENDLESS_ANSWERS = {
     "a status line": (b"HTTP/1.1 200 ", b"O" * 4096),
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
@@ -34,6 +34,12 @@
   Scenario: No request is sent on a connection that the target has closed
     Then the next payout is answered and the permit client is notified
 
+  # Guards against requests that cross the close of an idle connection.
+  Scenario: A connection is not used for longer than its target keeps it
+    Given a target that keeps idle connections for 1 second
+    When a request is answered and another follows after 0.9 seconds
+    Then the second request is sent on a new connection
+
   Scenario: A caller that disconnects cancels its request
     Then the target's connection is closed, both before and during the answer
 
