Spend the token of a request that could not connect

Callers saw no difference; a target at its limit could get requests that its home had not granted. Cause: a permit whose connection failed gave a token back, also one that had been chosen before the limit was known and had taken none, and the returned token lived on with the next grant.

A token is now spent when a target is chosen. The new scenario failed before (2 requests sent for 1 granted) and passes; the 29 scenarios of the bounds pass.

--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
@@ -169,7 +169,11 @@
         self._post(home, BoundAsk(target, self._last_number, count, reports))
 
     def on_send(self, target: TargetId, now_s: float) -> None:
-        """Takes the token of a request that is sent to a target."""
+        """Takes the token of a request that is sent to a target.
+
+        The token is spent even if the request is not sent after all: one that
+        was chosen before the limit was known has taken none to return.
+        """
         entry = self._targets.get(target)
         if entry is None or entry.observations.rate_per_s() is None:
             return
@@ -177,12 +181,6 @@
         if now_s < entry.tokens_until_s:
             entry.tokens = max(0, entry.tokens - 1)
 
-    def on_not_sent(self, target: TargetId, now_s: float) -> None:
-        """Takes back the token of a request that was not sent after all."""
-        entry = self._targets.get(target)
-        if entry is not None and now_s < entry.tokens_until_s:
-            entry.tokens += 1
-
     def on_report(
         self, target: TargetId, report: LimitReport, now_s: float
     ) -> None:
@@ -446,9 +444,6 @@
     def on_send(self, target: TargetId, now_s: float) -> None:
         """Does nothing."""
 
-    def on_not_sent(self, target: TargetId, now_s: float) -> None:
-        """Does nothing."""
-
     def on_report(
         self, target: TargetId, report: LimitReport, now_s: float
     ) -> None:
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -51,8 +51,6 @@
         AttemptOutcome.TIMEOUT,
     }
 )
-#: Outcomes of permits without a request that reached the target.
-_NOT_SENT = frozenset({AttemptOutcome.UNUSED, AttemptOutcome.CONNECT_FAILED})
 
 _DEFAULTS = ChoiceSettings()
 
@@ -145,8 +143,6 @@
         stats = self._stats.get(permit.target)
         if stats is not None:
             stats.on_finished()
-        if result.outcome in _NOT_SENT:
-            self._bounds.on_not_sent(permit.target, now_s)
         if stats is None or result.outcome is AttemptOutcome.UNUSED:
             return []
         if result.outcome is AttemptOutcome.CONNECT_FAILED:
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
@@ -71,3 +71,10 @@
   Scenario: A new target changes the subsets only slightly
     When a target joins a service of 40 targets that 30 nodes use
     Then each subset changes by at most one target
+
+  # Guards against requests beyond what the home of a limited target granted.
+  Scenario: A failed connection allows no further request to a limited target
+    Given a service with only one target
+    When a request is sent and the target then names a limit of 4 per second
+    And 3 more requests wait, one of them is sent, and the connection of the first request fails
+    Then no other request is sent within the next 0.2 seconds
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
@@ -3,6 +3,8 @@
 
 from behave import given, then, when
 
+from egretrock.coordination.base import Peer
+from egretrock.coordination.bounds import LimitReport, TargetBounds
 from egretrock.coordination.probing import (
     ChoiceSettings,
     LoadReading,
@@ -13,6 +15,7 @@
 from egretrock.state.config import Target
 from egretrock.state.ids import (
     DataCentreId,
+    Incarnation,
     InstanceId,
     NodeId,
     OrganisationId,
@@ -44,6 +47,21 @@
     )
 
 
+class OnlyNode:
+    """Membership of a fleet of one node, which is the home of all targets."""
+
+    node = NodeId("n1")
+    is_leaving = False
+    _alive_nodes = frozenset({node})
+
+    def alive_nodes(self):
+        return self._alive_nodes
+
+    def reachable_share(self, assumed_nodes=1):
+        del assumed_nodes
+        return 1.0
+
+
 class ProbingFixture:
     """A chooser, and targets whose load readings a scenario sets."""
 
@@ -56,11 +74,13 @@
         self.now_s = 100.0
         self.ticket_count = 0
         self.assignments = []
+        self.bounds = TargetBounds(OnlyNode())
         self.chooser = TargetChooser(
             lambda service: self.targets,
             make_subsets("n1", *node_counts),
             random.Random(7),
             settings or ChoiceSettings(),
+            bounds=self.bounds,
         )
 
     def add_request(self, excluded=frozenset()):
@@ -94,14 +114,23 @@
                 if probe.target not in self.unresponsive:
                     reading = self.reading(probe.target)
                     self.chooser.on_reading(probe, reading, self.now_s)
+            self.deliver_bound_messages()
             self.assignments += self.chooser.poll(self.now_s)
 
+    def deliver_bound_messages(self):
+        own = Peer(OnlyNode.node, Incarnation(1))
+        messages = self.bounds.take_messages()
+        while messages:
+            body = messages.pop().body
+            messages += self.bounds.on_message(own, body, self.now_s)
+
     def run(self, span_s):
         end_s = self.now_s + span_s
         self.answer_probes()
         while self.now_s < end_s:
             self.now_s = min(end_s, self.now_s + STEP_S)
             self.chooser.on_tick(self.now_s)
+            self.bounds.on_tick(self.now_s)
             self.answer_probes()
 
     def set_readings(self, target_ids, **fields):
@@ -381,3 +410,42 @@
 def step_stable(context):
     for before, after in context.subsets:
         assert len(before - after) <= 1, (before, after)
+
+
+@given("a service with only one target")
+def step_one_target(context):
+    context.fixture = ProbingFixture(near=1, far=0)
+
+
+@when("a request is sent and the target then names a limit of 4 per second")
+def step_sent_then_limited(context):
+    fixture = context.fixture
+    fixture.add_request()
+    fixture.run(0.02)
+    (assignment,) = fixture.assignments
+    context.permit = assignment.permit
+    fixture.chooser.on_limit_reported(
+        context.permit.target, LimitReport(4.0), fixture.now_s
+    )
+
+
+@when(
+    "{count:d} more requests wait, one of them is sent, and the connection of"
+    " the first request fails"
+)
+def step_connection_fails(context, count):
+    fixture = context.fixture
+    fixture.assignments.clear()
+    for _ in range(count):
+        fixture.add_request()
+    while not fixture.assignments:
+        fixture.run(STEP_S)
+    outcome = AttemptResult(AttemptOutcome.CONNECT_FAILED)
+    fixture.chooser.finish(context.permit, outcome, fixture.now_s)
+    fixture.run(0.2)
+
+
+@then("no other request is sent within the next 0.2 seconds")
+def step_sent_count(context):
+    sent_count = len(context.fixture.assignments)
+    assert sent_count == 1, sent_count
