Tell nodes that join or return the limits of targets

Targets in need got requests beyond their limit from nodes that had restarted or had been cut off: such a node missed the news of a limit and learnt it only from the first answer to a request of its own. The home now sends it the limits as soon as it counts the node as alive.

--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
@@ -7,7 +7,8 @@
   the rate of the bound. A node that knows of the bound sends a request only
   with a token.
 * Nodes learn of a bound from answers of the target, from the home with each
-  answer to an ask, and from its news when the bound begins, changes or ends.
+  answer to an ask, and from its news when the bound begins, changes or ends,
+  or when the node joins or returns.
 * A new home starts with an empty pool, and a new process has no tokens, so
   restarts lose tokens but never create any.
 """
@@ -131,6 +132,7 @@
         self._outbox: list[Outbound] = []
         self._last_number = 0
         self._next_clean_up_s = 0.0
+        self._informed_nodes = members.alive_nodes()
         self._homes: dict[TargetId, NodeId | None] = {}
         self._homes_for: tuple[frozenset[NodeId], bool] | None = None
 
@@ -251,6 +253,7 @@
 
     def on_tick(self, now_s: float) -> list[Outbound]:
         """Announces delayed changes and removes what has ended."""
+        self._inform_joined(now_s)
         is_clean_up_due = now_s >= self._next_clean_up_s
         if is_clean_up_due:
             self._next_clean_up_s = now_s + _CLEAN_UP_INTERVAL_S
@@ -390,6 +393,21 @@
         for receiver in receivers:
             self._post(receiver, news)
 
+    def _inform_joined(self, now_s: float) -> None:
+        """As the home, sends the limits to nodes that joined or returned."""
+        alive_nodes = self._members.alive_nodes()
+        if alive_nodes is self._informed_nodes:
+            return
+        joined = sorted(alive_nodes - self._informed_nodes)
+        self._informed_nodes = alive_nodes
+        for target, entry in self._targets.items():
+            if entry.named_per_s() is None:
+                continue
+            if self._home_of(target) == self._members.node:
+                news = BoundNews(target, entry.observations.reports(now_s))
+                for node in joined:
+                    self._post(node, news)
+
     def _on_ask_timeout(self, entry: _BoundedTarget, now_s: float) -> None:
         entry.ask_number = 0
         entry.next_ask_s = now_s + self._settings.silence_s
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
@@ -67,6 +67,18 @@
     When the limit is named to one node only
     Then all nodes know it after 0.2 seconds
 
+  # Guards against nodes that exceed a limit because they missed its start.
+  Scenario Outline: A node that returns learns a limit before it asks the target
+    Given 17 nodes that send 10 times the limit of 4 per second
+    When a node <absence> while the limit is named to another one
+    Then all nodes know it 2 seconds after its return
+
+    Examples:
+      | absence               |
+      | restarts              |
+      | is partitioned off    |
+      | is frozen             |
+
   Scenario: The end of a limit is known to all nodes
     Given 17 nodes that send 10 times the limit of 4 per second
     When the target names no limit any more after 5 seconds
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
@@ -159,6 +159,60 @@
     process.send(process.bounds.take_messages())
 
 
+#: Time after which the others take an absent node to be gone.
+ABSENCE_S = 8.0
+
+
+def absent_node(fleet):
+    """Returns a node that is neither the home, nor a seed, nor told first."""
+    home = home_of(fleet.nodes)
+    return next(n for n in reversed(fleet.node_ids) if n != home)
+
+
+@when("a node restarts while the limit is named to another one")
+def step_absent_restart(context):
+    fleet = context.fleet
+    absent = absent_node(fleet)
+    fleet.kill(absent)
+    report_to_one(context, context.target.limit_per_s)
+    fleet.run_for(ABSENCE_S)
+    fleet.start(absent)
+
+
+@when("a node is partitioned off while the limit is named to another one")
+def step_absent_cut(context):
+    fleet = context.fleet
+    fleet.partition({absent_node(fleet)})
+    report_to_one(context, context.target.limit_per_s)
+    fleet.run_for(ABSENCE_S)
+    fleet.network.heal()
+
+
+@when("a node is frozen while the limit is named to another one")
+def step_absent_frozen(context):
+    fleet = context.fleet
+    absent = absent_node(fleet)
+    fleet.network.freeze(absent)
+    report_to_one(context, context.target.limit_per_s)
+    fleet.run_for(ABSENCE_S)
+    fleet.network.resume(absent)
+
+
+@when("a limit ends while a node is frozen and begins again before it resumes")
+def step_ends_unheard(context):
+    fleet = context.fleet
+    limit_per_s = context.target.limit_per_s
+    report_to_one(context, limit_per_s)
+    fleet.run_for(2.0)
+    absent = absent_node(fleet)
+    fleet.network.freeze(absent)
+    report_to_one(context, None)
+    fleet.run_for(ABSENCE_S)
+    report_to_one(context, limit_per_s)
+    fleet.run_for(2.0)
+    fleet.network.resume(absent)
+
+
 @when("a node gets an answer without a limit 0.1 seconds after one with it")
 def step_late_answer(context):
     report_to_one(context, context.target.limit_per_s)
@@ -218,6 +272,7 @@
 
 
 @then("all nodes know it after {delay_s:g} seconds")
+@then("all nodes know it {delay_s:g} seconds after its return")
 def step_all_know(context, delay_s):
     context.fleet.run_for(delay_s)
     unaware = [
