Do not take the backlog of a frozen node for new observations

A node that was frozen read the end of a limit that had begun again meanwhile, took it to be newer than the limit, and sent without one until its next answer. The receiver computes the time of an observation from its age when the message was sent, which is only right if the message is read at once.

For 0.2 s after a time without ticks, messages are taken to have waited for as long as the node was frozen. The new scenario failed before and passes.

--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
@@ -50,6 +50,11 @@
 _CLEAN_UP_INTERVAL_S = 1.0
 #: Seconds for which an unlisted target is kept after its last observation.
 _UNLISTED_MEMORY_S = 30.0
+#: Time without a tick after which messages may have waited for the process:
+#: it was frozen.
+_FREEZE_S = 0.5
+#: Time after a freeze in which messages from before its end are read.
+_BACKLOG_S = 0.2
 #: Most tokens in one ask.
 _MAX_ASK_TOKENS = 100
 
@@ -132,6 +137,9 @@
         self._outbox: list[Outbound] = []
         self._last_number = 0
         self._next_clean_up_s = 0.0
+        self._last_tick_s: float | None = None
+        self._freeze_s = 0.0
+        self._backlog_until_s = float("-inf")
         self._informed_nodes = members.alive_nodes()
         self._homes: dict[TargetId, NodeId | None] = {}
         self._homes_for: tuple[frozenset[NodeId], bool] | None = None
@@ -253,6 +261,10 @@
 
     def on_tick(self, now_s: float) -> list[Outbound]:
         """Announces delayed changes and removes what has ended."""
+        waited_s = self._longest_message_wait_s(now_s)
+        if waited_s:
+            self._freeze_s, self._backlog_until_s = waited_s, now_s + _BACKLOG_S
+        self._last_tick_s = now_s
         self._inform_joined(now_s)
         is_clean_up_due = now_s >= self._next_clean_up_s
         if is_clean_up_due:
@@ -344,11 +356,25 @@
     def _merge_reports(
         self, target: TargetId, reports: Iterable[BoundReport], now_s: float
     ) -> None:
+        waited_s = self._longest_message_wait_s(now_s)
         for report in reports:
-            observed_s = now_s - max(0, report.age_ms) / 1000
+            observed_s = now_s - waited_s - max(0, report.age_ms) / 1000
             observation = Observation(report.rate_per_s, observed_s)
             self._merge(target, report.kind, observation)
 
+    def _longest_message_wait_s(self, now_s: float) -> float:
+        """Returns for how long a message may have waited to be read.
+
+        It is 0 but after a freeze, whose backlog would otherwise be taken for
+        the newest observations.
+        """
+        if self._last_tick_s is None:
+            return 0.0
+        idle_s = now_s - self._last_tick_s
+        if idle_s > _FREEZE_S:
+            return idle_s
+        return self._freeze_s if now_s < self._backlog_until_s else 0.0
+
     def _merge(
         self, target: TargetId, kind: BoundKind, observation: Observation
     ) -> None:
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
@@ -79,6 +79,12 @@
       | is partitioned off    |
       | is frozen             |
 
+  # Guards against old news that a node reads only after it was frozen.
+  Scenario: The end of a limit that a frozen node hears late does not hide a new one
+    Given 17 nodes that send 10 times the limit of 4 per second
+    When a limit ends while a node is frozen and begins again before it resumes
+    Then all nodes know it 2 seconds after its return
+
   Scenario: The end of a limit is known to all nodes
     Given 17 nodes that send 10 times the limit of 4 per second
     When the target names no limit any more after 5 seconds
