End the backlog of a frozen node after its first 0.2 s

Each tick in that time began it anew, so that a node that had been frozen once took all later news for old and did not hear the end of a limit. The scenario now also ends the limit; it failed before and passes.

--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
@@ -261,9 +261,9 @@
 
     def on_tick(self, now_s: float) -> list[Outbound]:
         """Announces delayed changes and removes what has ended."""
-        waited_s = self._longest_message_wait_s(now_s)
-        if waited_s:
-            self._freeze_s, self._backlog_until_s = waited_s, now_s + _BACKLOG_S
+        idle_s = self._idle_s(now_s)
+        if idle_s > _FREEZE_S:
+            self._freeze_s, self._backlog_until_s = idle_s, now_s + _BACKLOG_S
         self._last_tick_s = now_s
         self._inform_joined(now_s)
         is_clean_up_due = now_s >= self._next_clean_up_s
@@ -368,13 +368,17 @@
         It is 0 but after a freeze, whose backlog would otherwise be taken for
         the newest observations.
         """
-        if self._last_tick_s is None:
-            return 0.0
-        idle_s = now_s - self._last_tick_s
+        idle_s = self._idle_s(now_s)
         if idle_s > _FREEZE_S:
             return idle_s
         return self._freeze_s if now_s < self._backlog_until_s else 0.0
 
+    def _idle_s(self, now_s: float) -> float:
+        """Returns the time since the last tick, 0 before the first one."""
+        return now_s - (
+            now_s if self._last_tick_s is None else self._last_tick_s
+        )
+
     def _merge(
         self, target: TargetId, kind: BoundKind, observation: Observation
     ) -> None:
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
@@ -84,6 +84,8 @@
     Given 17 nodes that send 10 times the limit of 4 per second
     When a limit ends while a node is frozen and begins again before it resumes
     Then all nodes know it 2 seconds after its return
+    When that node hears the limit from the target and another one hears its end
+    Then no node knows a limit 2 seconds later
 
   Scenario: The end of a limit is known to all nodes
     Given 17 nodes that send 10 times the limit of 4 per second
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
@@ -150,9 +150,9 @@
     report_to_one(context, context.target.limit_per_s)
 
 
-def report_to_one(context, limit_per_s):
+def report_to_one(context, limit_per_s, node=None):
     fleet = context.fleet
-    process = fleet.nodes[fleet.node_ids[0]]
+    process = fleet.nodes[node or fleet.node_ids[0]]
     process.bounds.on_report(
         TARGET, LimitReport(limit_per_s), fleet.network.now_s
     )
@@ -235,6 +235,16 @@
     context.target.run(SPAN_S)
 
 
+@when("that node hears the limit from the target and another one hears its end")
+def step_end_told(context):
+    report_to_one(
+        context, context.target.limit_per_s, absent_node(context.fleet)
+    )
+    context.fleet.run_for(1.0)
+    report_to_one(context, None)
+    context.fleet.run_for(2.0)
+
+
 @then("at most {count:d} requests reach the target in any 4 seconds")
 @then(
     "at most {count:d} requests reach the target in any 4 seconds from 1"
