Take a limit of 0 in a message of a peer as the lowest limit

A message with a limit of 0 raised ZeroDivisionError at the home of the target, one below 0 granted and waited without sense. Limits in messages now have the lower bound that those in answers have. Both examples failed before and pass.

--- a/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/_bounds.py
@@ -359,8 +359,12 @@
         waited_s = self._longest_message_wait_s(now_s)
         for report in reports:
             observed_s = now_s - waited_s - max(0, report.age_ms) / 1000
-            observation = Observation(report.rate_per_s, observed_s)
-            self._merge(target, report.kind, observation)
+            rate_per_s = report.rate_per_s
+            if rate_per_s is not None:
+                rate_per_s = max(rate_per_s, self._settings.min_rate_per_s)
+            self._merge(
+                target, report.kind, Observation(rate_per_s, observed_s)
+            )
 
     def _longest_message_wait_s(self, now_s: float) -> float:
         """Returns for how long a message may have waited to be read.
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/bounds.feature
@@ -101,3 +101,14 @@
     Given 2 nodes that send 10 times the limit of 4 per second
     When a node gets an answer without a limit 0.1 seconds after one with it
     Then all nodes know it after 0.2 seconds
+
+  # Guards against a node that fails because of one message of a peer.
+  Scenario Outline: A limit of <rate> in a message is taken as the lowest limit
+    Given 1 nodes that send 10 times the limit of 4 per second
+    When a peer asks for requests and tells a limit of <rate>
+    Then the peer is told to wait
+
+    Examples:
+      | rate |
+      | 0    |
+      | -1   |
--- a/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/tests/steps/bounds_steps.py
@@ -1,8 +1,13 @@
 from behave import given, then, when
 
-from egretrock.coordination.base import rendezvous_node
-from egretrock.coordination.bounds import BoundAsk, LimitReport
-from egretrock.state.ids import TargetId
+from egretrock.coordination.base import Peer, rendezvous_node
+from egretrock.coordination.bounds import (
+    BoundAsk,
+    BoundKind,
+    BoundReport,
+    LimitReport,
+)
+from egretrock.state.ids import Incarnation, NodeId, TargetId
 from egretrock_standins.virtual import (
     DiscoveredFleet,
     Faults,
@@ -245,6 +250,23 @@
     context.fleet.run_for(2.0)
 
 
+@when("a peer asks for requests and tells a limit of {rate:g}")
+def step_peer_asks(context, rate):
+    fleet = context.fleet
+    (process,) = fleet.nodes.values()
+    report = BoundReport(BoundKind.NAMED_LIMIT, rate, 0)
+    ask = BoundAsk(TARGET, 1, 1, (report,))
+    peer = Peer(NodeId("10.0.9.1:7000"), Incarnation(1))
+    context.outbound = process.bounds.on_message(peer, ask, fleet.network.now_s)
+
+
+@then("the peer is told to wait")
+def step_told_to_wait(context):
+    (answer,) = [m.body for m in context.outbound if m.to == "10.0.9.1:7000"]
+    assert answer.count == 0
+    assert answer.wait_ms > 0
+
+
 @then("at most {count:d} requests reach the target in any 4 seconds")
 @then(
     "at most {count:d} requests reach the target in any 4 seconds from 1"
