Read the limit that a target names with its load

A target that named its limit in the answer to a probe was sent requests as if it had none until it named it again in the answer to a request. Probes come first, so a node now knows the limit before it sends anything.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -204,7 +204,7 @@
             self._counters.increment("probes.failed")
         else:
             stats.on_reading(reading, sent_s, now_s)
-            self._report_warm_up(probe, reading, now_s)
+            self._report_bounds(probe, reading, now_s)
         if probe_round is None or probe_round.is_finished:
             return
         probe_round.pending_probes.discard(probe.number)
@@ -214,9 +214,11 @@
             self._add_candidate(probe_round, probe.target, stats, now_s)
         self._advance(probe_round, now_s)
 
-    def _report_warm_up(
+    def _report_bounds(
         self, probe: LoadProbe, reading: LoadReading, now_s: float
     ) -> None:
+        if reading.limit is not None:
+            self._bounds.on_report(probe.target, reading.limit, now_s)
         rate_per_s = None
         if reading.cold_s > 0:
             rate_per_s = self._warm_up_rate_of(probe.service)
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from egretrock.coordination.bounds import LimitReport
 from egretrock.state.config import Target
 from egretrock.state.ids import InstanceId, ServiceId, TargetId
 
@@ -34,6 +35,8 @@
         relative_service_time: Current service time relative to the usual
             service time; a higher value is slower.
         cold_s: Seconds until the instance is warmed up; 0 if it is warm.
+        limit: Limit that the instance names, or None if the answer does not
+            tell one.
     """
 
     instance: InstanceId | None
@@ -43,6 +46,7 @@
     slots: int
     relative_service_time: float = 1.0
     cold_s: float = 0.0
+    limit: LimitReport | None = None
 
 
 class LoadProbe(msgspec.Struct, frozen=True):
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
@@ -78,3 +78,10 @@
     When a request is sent and the target then names a limit of 4 per second
     And 3 more requests wait, one of them is sent, and the connection of the first request fails
     Then no other request is sent within the next 0.2 seconds
+
+  # Guards against limits that are told with the load and not read.
+  Scenario: A target that names its limit with its load gets no more than that
+    When a near target tells a limit of 4 per second with its load
+    And 400 requests arrive one by one within 4 seconds
+    Then that target gets at most 29 of them
+    And all requests got a target
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
@@ -412,6 +412,22 @@
         assert len(before - after) <= 1, (before, after)
 
 
+@when("a near target tells a limit of {rate:g} per second with its load")
+def step_limit_with_load(context, rate):
+    fixture = context.fixture
+    context.limited = fixture.near[0]
+    fixture.set_readings([context.limited], limit=LimitReport(rate))
+
+
+@then("that target gets at most {limit:d} of them")
+def step_limited_count(context, limit):
+    count = sum(
+        assignment.permit.target == context.limited
+        for assignment in context.fixture.assignments
+    )
+    assert count <= limit, count
+
+
 @given("a service with only one target")
 def step_one_target(context):
     context.fixture = ProbingFixture(near=1, far=0)
