Do not send what the end of a planned stop would cut

Callers got 502 for a payout that had waited in a node that stops until shortly before the end of its drain, and was sent then: the check of the time left was made when a request arrived, not when it is sent. A request whose deadline is after the drain is now sent only if three mean slot times are left, and refused as not run otherwise, to return at once.

The new scenario failed before and passes; the one beside it shows that a request with time for its answer is still sent.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -70,6 +70,7 @@
     DEADLINE_EXCEEDED,
     IDEMPOTENCY_UNAVAILABLE,
     KEY_UNKNOWN,
+    NODE_STOPPING,
     NOT_FRESH,
     NOT_READY,
     refusal_after,
@@ -99,9 +100,8 @@
 _MAX_UNUSABLE_PERMITS = 20
 #: Requests of one organisation that may wait for a token at the same time.
 _MAX_TOKEN_WAITERS = 500
-#: When a caller may return that a stopping node refuses: at once, as a new
-#: connection reaches another node.
-_DRAIN_RETRY_AFTER_MS = 1
+#: A request is sent in a drain only if this many mean slot times are left.
+_DRAIN_SLOT_TIMES = 3.0
 _OUTCOME_BY_REASON = {
     RetryReason.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
     RetryReason.CONNECTION_LOST: AttemptOutcome.LOST,
@@ -324,13 +324,7 @@
         if not fleet.is_ready(now_s):
             return NOT_READY
         if self._refuses_new or exchange.deadline_s > self._serves_until_s:
-            message = "the node is stopping"
-            return Refusal(
-                RefusalCode.NODE_DRAINING,
-                RunState.NOT_RUN,
-                message,
-                _DRAIN_RETRY_AFTER_MS,
-            )
+            return NODE_STOPPING
         out_since_s = self._config_in_force.out_since_s
         if (
             out_since_s is not None
@@ -625,6 +619,8 @@
             Whether the request may be sent now; it is then counted as sent.
         """
         refusal = self._recheck(exchange, now_s)
+        if refusal is None and self._is_cut_by_drain(exchange, now_s):
+            refusal = NODE_STOPPING
         if refusal is None:
             checked = self._parts.quarantine.check(exchange.fingerprint, now_s)
             refusal = checked.error if checked.is_error() else None
@@ -682,6 +678,13 @@
             self._ask_permit(exchange, now_s)
         return False
 
+    def _is_cut_by_drain(self, exchange: Exchange, now_s: float) -> bool:
+        """Returns whether the drain may abort a request that is sent now."""
+        if exchange.deadline_s <= self._serves_until_s:
+            return False
+        mean_s = self._slot_time_s.get(exchange.match.route.service, 0.0)
+        return now_s + _DRAIN_SLOT_TIMES * mean_s > self._serves_until_s
+
     def _recheck(self, exchange: Exchange, now_s: float) -> Refusal | None:
         """Repeats the checks whose result may change while a request waits."""
         if now_s >= exchange.deadline_s:
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_refusals.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_refusals.py
@@ -1,6 +1,11 @@
 """Refusals that several steps of the pipeline use."""
 
-from egretrock.state.outcome import Refusal, RefusalCode, RetryReason
+from egretrock.state.outcome import (
+    Refusal,
+    RefusalCode,
+    RetryReason,
+    RunState,
+)
 from egretrock_node.protocol.requests._exchange import refusal_not_run
 from egretrock_node.protocol.requests._values import AttemptFailure
 
@@ -19,6 +24,10 @@
     RefusalCode.NODE_NOT_READY,
     "the node has not confirmed its configuration yet",
 )
+#: Tells the caller to return at once, as a new connection reaches another node.
+NODE_STOPPING = Refusal(
+    RefusalCode.NODE_DRAINING, RunState.NOT_RUN, "the node is stopping", 1
+)
 DEADLINE_EXCEEDED = refusal_not_run(
     RefusalCode.DEADLINE_EXCEEDED,
     "the deadline of the route's profile has passed",
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -32,6 +32,19 @@
       | the key is revoked                  | key_unknown       |
       | the deadline passes                 | deadline_exceeded |
 
+  # Guards against requests that are sent late in a planned stop and then cut.
+  Scenario: A request that waits until late in a drain is refused, not sent
+    When a request is answered after 0.5 seconds
+    And a request waits for a permit
+    And meanwhile the node has 1 second left
+    Then it is not sent but refused with node_draining and run state not_run
+
+  Scenario: A request is sent in a drain while there is time for its answer
+    When a request is answered after 0.5 seconds
+    And a request waits for a permit
+    And meanwhile the node has 2 seconds left
+    Then the waiting request is sent
+
   Scenario: A request on an open route is not sent to a target that has left
     When a request on an open route waits for a permit
     And meanwhile the target leaves
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -174,6 +174,12 @@
     ),
     "each permit expires": set_return("permits", "may_dispatch", False),
     "the queue evicts it for another": evict_first,
+    "the node has 1 second left": lambda c: c.pipeline.refuse_beyond(
+        c.now_s + 1.0
+    ),
+    "the node has 2 seconds left": lambda c: c.pipeline.refuse_beyond(
+        c.now_s + 2.0
+    ),
     "no node knows whether a key was used": lambda c: setattr(
         c.parts.idempotency, "outcome", BeginOutcome.UNAVAILABLE
     ),
@@ -187,6 +193,14 @@
     start(context)
 
 
+@when("a request is answered after {delay_s:g} seconds")
+def step_answered(context, delay_s):
+    start(context)
+    context.now_s += delay_s
+    context.targets.sent.pop().answer()
+    context.exchanges.clear()
+
+
 @when("a request waits for a permit")
 def step_wait(context):
     context.parts.permits.is_blocked = True
@@ -214,6 +228,11 @@
         release_permits(context)
 
 
+@then("the waiting request is sent")
+def step_waiting_sent(context):
+    assert len(context.targets.sent) == 1
+
+
 @then("it is refused with {code} and run state {state}")
 def step_refused(context, code, state, count=1):
     tick(context)
