Keep no more idle connections than targets accept from all nodes

Targets reset new connections when all nodes together held too many: a node kept up to 12 idle ones to each target, a number for 18 nodes and targets that accept 250, and did not read how many a target accepts. With 4 nodes and targets that accept 10, 22 and 25 stayed open.

The published number is now read, and a node keeps its share of four fifths of it.

--- a/packages/egretrock-core/src/egretrock/coordination/bounds/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/bounds/__init__.py
@@ -5,6 +5,7 @@
     TargetBounds,
     Unbounded,
 )
+from egretrock.coordination.bounds._connections import idle_connection_share
 from egretrock.coordination.bounds._messages import (
     BOUND_MESSAGES,
     BoundAnswer,
@@ -32,4 +33,5 @@
     "LimitReport",
     "TargetBounds",
     "Unbounded",
+    "idle_connection_share",
 ]
--- a/packages/egretrock-core/src/egretrock/state/config/_model.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_model.py
@@ -103,11 +103,14 @@
         profile: Name of the profile.
         targets: Its instances.
         health_path: Path at which a target reports its health and load.
+        max_connections: Connections that a target accepts from all gateways
+            together; None if it is not known.
     """
 
     profile: ProfileName
     targets: dict[TargetId, Target]
     health_path: str = "/health"
+    max_connections: PositiveInt | None = None
 
 
 class Route(_Published, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -20,7 +20,11 @@
     Peer,
     TimerService,
 )
-from egretrock.coordination.bounds import BOUND_MESSAGES, TargetBounds
+from egretrock.coordination.bounds import (
+    BOUND_MESSAGES,
+    TargetBounds,
+    idle_connection_share,
+)
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
     Directory,
@@ -544,7 +548,21 @@
                 },
             )
 
+    def _limit_idle_connections(self) -> None:
+        """Applies the node's share of the connections that targets accept."""
+        max_connections = self.publication.min_max_connections
+        if max_connections is None:
+            return
+        share = idle_connection_share(
+            max_connections, self.membership.serving_count()
+        )
+        most = TargetPoolSettings().max_idle_per_target
+        self.pool.settings = replace(
+            self.pool.settings, max_idle_per_target=min(most, share)
+        )
+
     def _on_timeout_check(self, now_s: float) -> None:
+        self._limit_idle_connections()
         self.callers.close_expired(now_s)
         self.pool.close_expired(now_s)
         self.counters.gauge("requests.in_flight", self.pipeline.in_flight_count)
--- a/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
@@ -88,6 +88,19 @@
         """Number of usable targets of all services."""
         return sum(map(len, self._usable_targets.values()))
 
+    @property
+    def min_max_connections(self) -> int | None:
+        """Fewest connections that a target of any service accepts, or None."""
+        services = {} if self._config is None else self._config.services
+        return min(
+            (
+                service.max_connections
+                for service in services.values()
+                if service.max_connections is not None
+            ),
+            default=None,
+        )
+
     def usable_targets(self, service: ServiceId) -> Mapping[TargetId, Target]:
         """Returns the usable targets of a service."""
         return self._usable_targets.get(service, {})
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -37,9 +37,7 @@
         max_discard_s: Longest time for which the rest of an unneeded answer
             is read and discarded.
         max_idle_s: Idle time after which a connection is closed.
-        max_idle_per_target: Idle connections kept per target. A target accepts
-            about 250 connections from all nodes together, which lets 18 nodes
-            hold 13 each.
+        max_idle_per_target: Idle connections kept per target.
         at_most_once_idle_s: Longest idle time of a connection on which a
             request that must run at most once may be sent.
         max_alive_connect_s: Longest connect time that proves that the process
@@ -332,9 +330,15 @@
         """
         oldest_s = now_s - self.settings.max_idle_s
         for connections in list(self._idle.values()):
-            for connection in list(connections):
+            # The connections in use most recently are last.
+            excess_count = (
+                len(connections) - self.settings.max_idle_per_target
+            )
+            for index, connection in enumerate(list(connections)):
                 idle_s = now_s - connection.answered_s
                 if (
+                    index < excess_count
+                    or
                     connection.answered_s < oldest_s
                     or idle_s > connection.idle_limit_s
                 ):
