Drop fragments of the directory that do not fit together

A message of a peer with an index beyond its number of fragments, or with another number of fragments than before, raised KeyError in the handler, and the other messages of its datagram were lost. It is now counted as damaged.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/_assembly.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_assembly.py
@@ -14,6 +14,7 @@
 
 
 class _PartialMessage(msgspec.Struct):
+    fragment_count: int
     fragments: dict[int, bytes]
     started_s: float
     is_snapshot: bool
@@ -34,6 +35,9 @@
         self, sender: Peer, body: Update, now_s: float
     ) -> list[bytes] | None:
         """Returns all fragments of a message if this is the last, or None."""
+        if not 0 <= body.fragment_index < body.fragment_count:
+            self._counters.increment("directory.bad_news")
+            return None
         if body.fragment_count == 1:
             return [body.data]
         key = (body.origin or sender.node, body.number)
@@ -43,8 +47,11 @@
                 self._counters.increment("directory.partial_dropped")
                 self._incomplete.clear()
             partial = self._incomplete[key] = _PartialMessage(
-                {}, now_s, body.is_snapshot
+                body.fragment_count, {}, now_s, body.is_snapshot
             )
+        if body.fragment_count != partial.fragment_count:
+            self._counters.increment("directory.bad_news")
+            return None
         partial.fragments[body.fragment_index] = body.data
         if len(partial.fragments) < body.fragment_count:
             return None
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
@@ -70,6 +70,18 @@
     Then all nodes together read everything at most 12 times
     And every node has the first entry
 
+  # Guards against a node that fails because of one message of a peer.
+  Scenario Outline: Fragments that do not fit together are dropped
+    Given 19 nodes that have read the platform
+    When a node gets fragments <first> and then <second>
+    Then it has the entries as before
+
+    Examples:
+      | first  | second |
+      | 0 of 2 | 2 of 2 |
+      | 0 of 3 | 2 of 2 |
+      | 0 of 0 | 0 of 0 |
+
   Scenario: A reader of a large fleet does not send to every member itself
     Given a large fleet of 111 nodes that have read the platform
     When the sent directory messages are counted for 10 seconds
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
@@ -3,7 +3,7 @@
 from behave import given, then, when
 
 from egretrock.coordination.base import Peer
-from egretrock.coordination.directory import DIRECTORY_MESSAGES
+from egretrock.coordination.directory import DIRECTORY_MESSAGES, Update
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, MemberState
 from egretrock.state.ids import Incarnation, NodeId
 from egretrock_node.protocol.peers import Codec
@@ -276,3 +276,31 @@
 @then("all nodes together called the platform at most {limit:d} times")
 def step_calls(context, limit):
     assert context.fleet.store.read_count <= limit
+
+
+@when(
+    "a node gets fragments {first:d} of {first_count:d} and then {second:d} of"
+    " {second_count:d}"
+)
+def step_fragments(context, first, first_count, second, second_count):
+    fleet = context.fleet
+    context.receiver = fleet.nodes[fleet.node_ids[0]]
+    context.entries = dict(context.receiver.directory.entries())
+    sender = fleet.nodes[fleet.node_ids[1]].peer
+    revision = fleet.store.revision
+    for index, count in ((first, first_count), (second, second_count)):
+        update = Update(
+            revision,
+            revision + 1,
+            0,
+            number=99,
+            fragment_index=index,
+            fragment_count=count,
+            data=b"x",
+        )
+        context.receiver.on_message(sender, update, fleet.network.now_s)
+
+
+@then("it has the entries as before")
+def step_entries_kept(context):
+    assert context.receiver.directory.entries() == context.entries
