--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -608,13 +608,16 @@
         )
 
     def _drop_unlisted_targets(self) -> None:
-        """Drops the statistics of unlisted targets, in 1% of the calls."""
+        """Drops the statistics of unlisted targets, in 1% of the calls.
+
+        Those of candidates are kept until their rounds have ended.
+        """
         if self._rng.random() > 0.01:
             return
-        listed = {
-            target_id
-            for service in self._demands
-            for target_id in self._targets_of(service)
-        }
-        for target_id in self._stats.keys() - listed:
+        kept: set[TargetId] = set()
+        for service, demand in self._demands.items():
+            kept.update(self._targets_of(service))
+            for probe_round in demand.rounds:
+                kept.update(probe_round.candidates)
+        for target_id in self._stats.keys() - kept:
             del self._stats[target_id]
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
@@ -85,3 +85,9 @@
     And 400 requests arrive one by one within 4 seconds
     Then that target gets at most 29 of them
     And all requests got a target
+
+  # Guards against a node whose requests all wait after an unexpected error.
+  Scenario: A target that leaves during a round of probes does not stop the node
+    When a target that was probed leaves before its round ends
+    And 1 requests arrive one by one within 0.1 seconds
+    Then all requests got a target
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
@@ -47,6 +47,13 @@
     )
 
 
+class LowestRandom(random.Random):
+    """Draws the lowest number, so that everything that may happen does."""
+
+    def random(self):
+        return 0.0
+
+
 class OnlyNode:
     """Membership of a fleet of one node, which is the home of all targets."""
 
@@ -65,7 +72,9 @@
 class ProbingFixture:
     """A chooser, and targets whose load readings a scenario sets."""
 
-    def __init__(self, settings=None, near=4, far=8, node_counts=(4, 16)):
+    def __init__(
+        self, settings=None, near=4, far=8, node_counts=(4, 16), rng=None
+    ):
         self.targets = make_targets(near, far)
         self.near = list(self.targets)[:near]
         self.readings = {target_id: {} for target_id in self.targets}
@@ -78,17 +87,17 @@
         self.chooser = TargetChooser(
             lambda service: self.targets,
             make_subsets("n1", *node_counts),
-            random.Random(7),
+            rng or random.Random(7),
             settings or ChoiceSettings(),
             bounds=self.bounds,
         )
 
-    def add_request(self, excluded=frozenset()):
+    def add_request(self, excluded=frozenset(), service=SERVICE):
         self.ticket_count += 1
         ticket = TicketId(self.ticket_count)
         self.chooser.request(
             ticket,
-            SERVICE,
+            service,
             OrganisationId("acme"),
             frozenset(excluded),
             self.now_s + 5.0,
@@ -428,6 +437,29 @@
     assert count <= limit, count
 
 
+@when("a target that was probed leaves before its round ends")
+def step_leaves_in_round(context):
+    fixture = context.fixture = ProbingFixture(rng=LowestRandom())
+    # A service without requests lets the chooser drop unlisted targets.
+    idle = fixture.add_request(service=ServiceId("idle"))
+    fixture.chooser.cancel(idle, fixture.now_s)
+    fixture.run(0.1)
+    fixture.ticket_count = 0
+    # Only a slow target answers, so the round waits for the others.
+    leaving = fixture.near[0]
+    fixture.unresponsive = set(fixture.targets) - {leaving}
+    fixture.set_readings([leaving], relative_service_time=5.0)
+    fixture.add_request()
+    fixture.answer_probes()
+    fixture.targets = {
+        target_id: target
+        for target_id, target in fixture.targets.items()
+        if target_id != leaving
+    }
+    fixture.run(0.05)
+    fixture.unresponsive.clear()
+
+
 @given("a service with only one target")
 def step_one_target(context):
     context.fixture = ProbingFixture(near=1, far=0)
