Search the limits of targets under random faults

The random search played only the rate of an organisation. It now also plays a target that names a limit, at six times the limit, by the same schedules. A fleet whose nodes each grant the whole limit is found at once.

--- a/packages/egretrock-standins/src/egretrock_standins/search/__main__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/search/__main__.py
@@ -6,7 +6,7 @@
 
 import cyclopts
 
-from egretrock_standins.search import run_seed
+from egretrock_standins.search import SearchSubject, run_seed
 
 
 def main(
@@ -15,10 +15,13 @@
     nodes: int = 16,
     span_s: float = 10.0,
     jobs: int = 2,
+    subject: SearchSubject = SearchSubject.RATE,
 ) -> None:
     """Runs seeds and prints the schedules of those that break a bound."""
     seed_range = range(first_seed, first_seed + seeds)
-    run_one = functools.partial(run_seed, nodes=nodes, span_s=span_s)
+    run_one = functools.partial(
+        run_seed, nodes=nodes, span_s=span_s, subject=subject
+    )
     failed = []
     with concurrent.futures.ProcessPoolExecutor(jobs) as pool:
         for result in pool.map(run_one, seed_range):
--- a/packages/egretrock-standins/src/egretrock_standins/search/_run.py
+++ b/packages/egretrock-standins/src/egretrock_standins/search/_run.py
@@ -1,11 +1,12 @@
 """Runs a schedule against a virtual fleet and checks the bounds."""
 
 import collections
-from typing import NamedTuple
+import enum
+from typing import NamedTuple, Protocol
 
 from egretrock.coordination.quota import QuotaSettings
 from egretrock.state.config import Organisation
-from egretrock.state.ids import NodeId, OrganisationId
+from egretrock.state.ids import NodeId, OrganisationId, TargetId
 from egretrock_standins.search._schedule import (
     Event,
     EventKind,
@@ -14,6 +15,7 @@
 from egretrock_standins.virtual import (
     DiscoveredFleet,
     Faults,
+    LimitedTarget,
     max_count_in_window,
 )
 
@@ -30,7 +32,11 @@
     local_slack=4.0,
     credit_s=0.4,
 )
-#: Offered load as a multiple of the rate.
+#: Limit that the target names, and bound on the requests in any 4 s: half of
+#: the limit and 5 requests above it, from 3 s after its first answer.
+_TARGET_LIMIT_PER_S, _TARGET_WINDOW_S, _TARGET_BOUND_DELAY_S = 4.0, 4.0, 3.0
+_TARGET_OVERAGE_RATIO, _TARGET_SLACK_REQUESTS = 0.5, 5.0
+#: Offered load as a multiple of the rate or limit.
 _LOAD_FACTOR = 6.0
 _STEP_S = 0.02
 #: Time before the schedule starts in which the fleet forms.
@@ -46,6 +52,13 @@
 _WALL_STEP_MS = -3000
 
 
+class SearchSubject(enum.Enum):
+    """What a search loads: the rate of an organisation, or one target."""
+
+    RATE = "rate"
+    TARGET_LIMIT = "target_limit"
+
+
 class Violation(NamedTuple):
     """A bound that did not hold, and what was observed."""
 
@@ -61,8 +74,86 @@
     violations: list[Violation]
 
 
+class _Load(Protocol):
+    """Requests that the fleet gets during a run."""
+
+    def run(self, span_s: float) -> None:
+        """Advances virtual time under the load."""
+        ...
+
+    def violations(self) -> list[Violation]:
+        """Returns the bounds on the load that did not hold."""
+        ...
+
+
+class _RateLoad:
+    """An organisation that sends many times its rate."""
+
+    def __init__(self, fleet: DiscoveredFleet) -> None:
+        self._fleet = fleet
+        self._admitted_s: list[float] = []
+
+    def run(self, span_s: float) -> None:
+        network = self._fleet.network
+        end_s = network.now_s + span_s
+        while network.now_s < end_s:
+            network.run(network.now_s + _STEP_S)
+            for _ in range(round(_LOAD_FACTOR * _LIMITS.rate_per_s * _STEP_S)):
+                self._send_request(self._fleet.rng.choice(self._fleet.node_ids))
+
+    def _send_request(self, name: NodeId) -> None:
+        process = self._fleet.nodes.get(name)
+        if process is None or self._fleet.network.is_frozen(name):
+            return
+        now_s = self._fleet.network.now_s
+        if process.rates.admit(_ACME, now_s).is_error():
+            process.send(process.rates.request_tokens(_ACME, now_s))
+            again = process.rates.admit(_ACME, now_s, is_recheck=True)
+            if again.is_error():
+                return
+        self._admitted_s.append(now_s)
+
+    def violations(self) -> list[Violation]:
+        most_admitted = max_count_in_window(self._admitted_s, _WINDOW_S)
+        base = _LIMITS.rate_per_s * _WINDOW_S + _LIMITS.burst
+        allowed = base * (1 + _OVERAGE_RATIO) + _SLACK_REQUESTS
+        if most_admitted <= allowed:
+            return []
+        observed = f"{most_admitted} requests in 5 s, {allowed:.0f} allowed"
+        return [Violation("an organisation stays within its rate", observed)]
+
+
+class _TargetLoad:
+    """A target that names a limit, and callers that send many times it."""
+
+    def __init__(self, fleet: DiscoveredFleet) -> None:
+        demand_per_s = _LOAD_FACTOR * _TARGET_LIMIT_PER_S
+        self._target = LimitedTarget(fleet, TargetId("t1"), demand_per_s)
+        self._target.limit_per_s = _TARGET_LIMIT_PER_S
+        self._bound_from_s = fleet.network.now_s + _TARGET_BOUND_DELAY_S
+        self.run = self._target.run
+
+    def violations(self) -> list[Violation]:
+        sent_s = [
+            at_s for at_s in self._target.sent_s if at_s >= self._bound_from_s
+        ]
+        most_sent = max_count_in_window(sent_s, _TARGET_WINDOW_S)
+        base = _TARGET_LIMIT_PER_S * _TARGET_WINDOW_S
+        allowed = base * (1 + _TARGET_OVERAGE_RATIO) + _TARGET_SLACK_REQUESTS
+        if most_sent <= allowed:
+            return []
+        observed = f"{most_sent} requests in 4 s, {allowed:.0f} allowed"
+        return [Violation("a target gets no more than its limit", observed)]
+
+
+_LOADS: dict[SearchSubject, type[_Load]] = {
+    SearchSubject.RATE: _RateLoad,
+    SearchSubject.TARGET_LIMIT: _TargetLoad,
+}
+
+
 class _SearchRun:
-    def __init__(self, seed: int, nodes: int) -> None:
+    def __init__(self, seed: int, nodes: int, subject: SearchSubject) -> None:
         self.fleet = DiscoveredFleet(
             seed,
             nodes,
@@ -70,7 +161,6 @@
             quota=_QUOTA,
         )
         self.fleet.store.put("first", b"1")
-        self.admitted_s: list[float] = []
         self._kill_counts: collections.Counter[NodeId] = collections.Counter()
         self._freeze_counts: collections.Counter[NodeId] = collections.Counter()
         self._cuts: list[Event] = []
@@ -80,28 +170,10 @@
         self._write_count = 0
         self.fleet.start_all()
         self.fleet.run_for(_SETTLE_S)
-
-    # Load.
+        self._load = _LOADS[subject](self.fleet)
 
     def run(self, span_s: float) -> None:
-        network = self.fleet.network
-        end_s = network.now_s + span_s
-        while network.now_s < end_s:
-            network.run(network.now_s + _STEP_S)
-            for _ in range(round(_LOAD_FACTOR * _LIMITS.rate_per_s * _STEP_S)):
-                self._send_request(self.fleet.rng.choice(self.fleet.node_ids))
-
-    def _send_request(self, name: NodeId) -> None:
-        process = self.fleet.nodes.get(name)
-        if process is None or self._freeze_counts[name]:
-            return
-        now_s = self.fleet.network.now_s
-        if process.rates.admit(_ACME, now_s).is_error():
-            process.send(process.rates.request_tokens(_ACME, now_s))
-            again = process.rates.admit(_ACME, now_s, is_recheck=True)
-            if again.is_error():
-                return
-        self.admitted_s.append(now_s)
+        self._load.run(span_s)
 
     # Events.
 
@@ -201,14 +273,7 @@
     # Bounds.
 
     def violations(self) -> list[Violation]:
-        found = []
-        most_admitted = max_count_in_window(self.admitted_s, _WINDOW_S)
-        allowed = self._max_admitted()
-        if most_admitted > allowed:
-            observed = f"{most_admitted} requests in 5 s, {allowed:.0f} allowed"
-            found.append(
-                Violation("an organisation stays within its rate", observed)
-            )
+        found = self._load.violations()
         nodes = self.fleet.nodes
         incomplete = [
             f"{name} sees {len(process.membership.alive_nodes())}"
@@ -230,22 +295,23 @@
             if process.directory.entries().get("last") != b"last"
         ]
 
-    @staticmethod
-    def _max_admitted() -> float:
-        base = _LIMITS.rate_per_s * _WINDOW_S + _LIMITS.burst
-        return base * (1 + _OVERAGE_RATIO) + _SLACK_REQUESTS
-
 
-def run_seed(seed: int, nodes: int = 16, span_s: float = 10.0) -> SearchResult:
+def run_seed(
+    seed: int,
+    nodes: int = 16,
+    span_s: float = 10.0,
+    subject: SearchSubject = SearchSubject.RATE,
+) -> SearchResult:
     """Runs the schedule of one seed.
 
     Args:
         seed: Seed of the schedule, the network and the load.
         nodes: Number of nodes.
         span_s: Seconds in which faults begin.
+        subject: What the load is and which bound it may break.
     """
     events = generate_schedule(seed, nodes, span_s)
-    search_run = _SearchRun(seed, nodes)
+    search_run = _SearchRun(seed, nodes, subject)
     start_s = search_run.fleet.network.now_s
     transitions = [(event.at_s, 0, event) for event in events]
     transitions += [
--- a/packages/egretrock-standins/src/egretrock_standins/search/tests/search.feature
+++ b/packages/egretrock-standins/src/egretrock_standins/search/tests/search.feature
@@ -36,6 +36,22 @@
     When the search runs seeds 293 to 293 with 16 nodes
     Then no bound is broken
 
+  # Guards against a target that gets more than the limit it named.
+  Scenario Outline: Random fault schedules break no limit of a target
+    When the search of target limits runs seeds <first> to <last> with <nodes> nodes
+    Then no bound is broken
+
+    Examples:
+      | first | last | nodes |
+      | 1001  | 1012 | 16    |
+      | 2001  | 2002 | 40    |
+      | 3001  | 3008 | 5     |
+
+  Scenario: The search finds a violation where nodes do not share a limit
+    Given nodes that each grant the whole limit
+    When the search of target limits runs seeds 1001 to 1002 with 16 nodes
+    Then the limit of the target is broken
+
   Scenario: The search finds a violation where a mechanism is missing
     Given homes that grant the whole rate whatever share of the fleet they reach
     When the search runs seeds 293 to 300 with 16 nodes
