Name limits of targets in the fault soak

The soak had no target that names a limit. In half of the plans of 10 s, one or two targets now name one until the end, and the requests of the gateways that passed on its answer are checked against the bound. The other faults of each seed are as before.

--- a/packages/egretrock-standins/src/egretrock_standins/soak/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/__init__.py
@@ -20,7 +20,13 @@
     RunRecord,
     check_run,
 )
-from egretrock_standins.soak._plan import Fault, FaultKind, SoakPlan, make_plan
+from egretrock_standins.soak._plan import (
+    TARGET_LIMIT_PER_S,
+    Fault,
+    FaultKind,
+    SoakPlan,
+    make_plan,
+)
 from egretrock_standins.soak._proxy import LoopbackProxy, ProxyMode
 from egretrock_standins.soak._report import chart
 from egretrock_standins.soak._run import (
@@ -30,6 +36,7 @@
 )
 
 __all__ = [
+    "TARGET_LIMIT_PER_S",
     "CallerProtocol",
     "Callers",
     "Fault",
--- a/packages/egretrock-standins/src/egretrock_standins/soak/_checks.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/_checks.py
@@ -7,13 +7,22 @@
 from egretrock_standins.soak._callers import Outcome, RequestRecord
 from egretrock_standins.soak._plan import (
     ABORTING_KINDS,
+    TARGET_LIMIT_PER_S,
     Fault,
     FaultKind,
     SoakPlan,
 )
+from egretrock_standins.virtual import max_count_in_window
 
 #: Time after a fault in which it may still abort requests.
 _ABORT_GRACE_S = 0.5
+#: Bound on the requests to a target with a limit: half of the limit and 5
+#: requests above it in any 4 s, from 3 s after the limit began, summed over
+#: the gateways that passed on its answer half a second before or earlier.
+_LIMIT_DELAY_S, _LIMIT_NEWS_S, _LIMIT_WINDOW_S = 3.0, 0.5, 4.0
+_LIMIT_OVERAGE_RATIO, _LIMIT_SLACK_REQUESTS = 0.5, 5
+#: Faults of a gateway that excuse it from the limits of targets.
+_LIMIT_EXCUSES = frozenset({FaultKind.KILL, FaultKind.STOP, FaultKind.PAUSE})
 
 
 class RunRecord(NamedTuple):
@@ -102,6 +111,7 @@
         "a draining target gets no new requests": list(
             _late_runs(plan, seen, drain_s)
         ),
+        "a target gets no more than its limit": list(_excess_runs(plan, seen)),
         "a revoked key stops working": list(seen.revoked_key_uses),
         "every gateway serves again after the faults": [
             f"gateway {number}" for number in seen.unready
@@ -142,5 +152,46 @@
                 yield f"{run.request_id} at {run.at_s:.2f} s"
 
 
+def _excess_runs(plan: SoakPlan, seen: Observations) -> Iterator[str]:
+    """Yields the targets that got more than their limit allows."""
+    requests = {request.request_id: request for request in seen.requests}
+    most = TARGET_LIMIT_PER_S * _LIMIT_WINDOW_S * (1 + _LIMIT_OVERAGE_RATIO)
+    most += _LIMIT_SLACK_REQUESTS
+    for fault in plan.faults:
+        if fault.kind is not FaultKind.TARGET_LIMIT:
+            continue
+        runs = [
+            (run.at_s, requests[run.request_id])
+            for run in seen.runs
+            if run.target == fault.index and run.request_id in requests
+        ]
+        told_s: dict[int, float] = {}
+        for at_s, request in runs:
+            is_told = request.outcome is Outcome.SERVED and at_s >= fault.at_s
+            if is_told:
+                known_s = told_s.get(request.gateway, float("inf"))
+                told_s[request.gateway] = min(known_s, request.ended_s)
+        counted_s = sorted(
+            at_s
+            for at_s, request in runs
+            if fault.at_s + _LIMIT_DELAY_S <= at_s <= fault.end_s
+            and told_s.get(request.gateway, float("inf")) + _LIMIT_NEWS_S
+            <= at_s
+            and not _is_excused(plan, request.gateway, at_s)
+        )
+        count = max_count_in_window(counted_s, _LIMIT_WINDOW_S)
+        if count > most:
+            yield f"target {fault.index}: {count} of {most:.0f} in 4 s"
+
+
+def _is_excused(plan: SoakPlan, gateway: int, at_s: float) -> bool:
+    return any(
+        fault.kind in _LIMIT_EXCUSES
+        and fault.index == gateway
+        and fault.at_s <= at_s
+        for fault in plan.faults
+    )
+
+
 def _delays_updates(fault: Fault) -> bool:
     return fault.kind is FaultKind.PAUSE or fault.kind.value.startswith("store")
--- a/packages/egretrock-standins/src/egretrock_standins/soak/_plan.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/_plan.py
@@ -32,8 +32,15 @@
     TARGET_DRAINS = (
         "target_drains"  # it is published as draining, then as ready
     )
+    TARGET_LIMIT = "target_limit"  # it names a limit of TARGET_LIMIT_PER_S
 
 
+#: Requests per second that a target with a limit takes from all gateways.
+TARGET_LIMIT_PER_S = 3.0
+#: Share of the plans in which a target names a limit, and the least time for
+#: which it does: the limit binds some seconds after it begins.
+_LIMIT_SHARE, _MIN_LIMIT_S = 0.5, 8.0
+
 #: Faults of a gateway that may abort the requests of its callers.
 ABORTING_KINDS = frozenset(
     {
@@ -99,7 +106,8 @@
     recurs while another one lasts.
     """
     rng = random.Random(seed)
-    kinds = rng.sample(list(FaultKind), rng.randint(2, 4))
+    short_kinds = [k for k in FaultKind if k is not FaultKind.TARGET_LIMIT]
+    kinds = rng.sample(short_kinds, rng.randint(2, 4))
     faults = []
     for kind in kinds:
         index_count = gateways if kind in _GATEWAY_KINDS else targets
@@ -112,5 +120,22 @@
                 Fault(kind, rng.randrange(index_count), at_s, duration_s)
             )
             at_s += rng.choice((0.1, 0.5, 1.5)) + duration_s * rng.random()
+    faults += _limit_faults(random.Random(f"limit {seed}"), targets, load_s)
     faults.sort(key=lambda fault: fault.at_s)
     return SoakPlan(seed, faults, rng.uniform(1.0, load_s / 2), load_s)
+
+
+def _limit_faults(
+    rng: random.Random, targets: int, load_s: float
+) -> list[Fault]:
+    """Returns the limits that targets name until the end of the load."""
+    if rng.random() > _LIMIT_SHARE:
+        return []
+    at_s = rng.uniform(0.2, 1.0)
+    if load_s - at_s < _MIN_LIMIT_S:
+        return []
+    indexes = rng.sample(range(targets), rng.randint(1, 2))
+    return [
+        Fault(FaultKind.TARGET_LIMIT, index, at_s, load_s - at_s)
+        for index in indexes
+    ]
--- a/packages/egretrock-standins/src/egretrock_standins/soak/tests/soak.feature
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/tests/soak.feature
@@ -13,6 +13,7 @@
       | a target sees a key                                | no target sees a key                                    |
       | a draining gateway aborts a request that ran       | no drain or change aborts a request that ran            |
       | a target runs a request long after its drain began | a draining target gets no new requests                  |
+      | a target gets 24 requests in 4 s at a limit of 3/s | a target gets no more than its limit                    |
       | a revoked key still works                          | a revoked key stops working                             |
       | a gateway does not serve again                     | every gateway serves again after the faults             |
       | a drained gateway exits with code 1                | a drained gateway exits with code 0                     |
@@ -26,6 +27,9 @@
       | a killed gateway aborts a request that ran        |
       | a draining gateway aborts a request before it ran |
       | a read runs twice                                 |
+      | a target gets 23 requests in 4 s at a limit of 3/s |
+      | a target gets 24 requests before its limit binds   |
+      | a target gets 24 requests of a restarted gateway   |
 
   Scenario: A seed always gives the same plan, other seeds give others
     Then each of 20 seeds gives the same plan twice, and the plans differ
--- a/packages/egretrock-standins/src/egretrock_standins/soak/tests/steps/soak_steps.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/tests/steps/soak_steps.py
@@ -44,7 +44,26 @@
     return [fault], observations([request(Outcome.CUT)], runs)
 
 
+def limited(count, from_s=5.0, faults=()):
+    """A target that names a limit from 1 s on, and tells it at 1.5 s."""
+    told = RequestRecord("r0", 1, True, "k1", 1.1, 1.5, Outcome.SERVED, 200)
+    requests = [told] + [
+        request(request_id=f"r{n + 1}", idempotent=True) for n in range(count)
+    ]
+    runs = [run("r0", 1.2)] + [
+        run(f"r{n + 1}", from_s + n * 0.1) for n in range(count)
+    ]
+    fault = Fault(FaultKind.TARGET_LIMIT, 0, 1.0, 9.0)
+    return [fault, *faults], observations(requests, runs)
+
+
 CASES = {
+    "a target gets 24 requests in 4 s at a limit of 3/s": limited(24),
+    "a target gets 23 requests in 4 s at a limit of 3/s": limited(23),
+    "a target gets 24 requests before its limit binds": limited(24, 1.6),
+    "a target gets 24 requests of a restarted gateway": limited(
+        24, 5.0, [Fault(FaultKind.KILL, 1, 2.0, 0.5)]
+    ),
     "a caller gets the answer to another request": (
         [],
         observations([request(Outcome.MIXED)]),
