--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -21,6 +21,11 @@
     node_id,
     vms_json,
 )
+from egretrock_standins.virtual._limited_service import (
+    CallerResult,
+    LimitedService,
+    SimulatedTarget,
+)
 from egretrock_standins.virtual._limited_target import LimitedTarget
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 from egretrock_standins.virtual._targets import (
@@ -32,14 +37,17 @@
 from egretrock_standins.virtual._windows import max_count_in_window
 
 __all__ = [
+    "CallerResult",
     "DiscoveredFleet",
     "DiscoveredNode",
     "Faults",
     "FleetHistory",
     "FleetView",
+    "LimitedService",
     "LimitedTarget",
     "PlatformView",
     "PublishedRevision",
+    "SimulatedTarget",
     "TargetSimulation",
     "VirtualAttempt",
     "VirtualFleet",
