Check soak faults at the times at which they were played

The runner now records when each fault began and ended, and the checks use that. The bounds are the same; the new scenario guards the recording.

--- a/packages/egretrock-standins/src/egretrock_standins/soak/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/__init__.py
@@ -24,6 +24,7 @@
     TARGET_LIMIT_PER_S,
     Fault,
     FaultKind,
+    PlayedFault,
     SoakPlan,
     make_plan,
 )
@@ -32,6 +33,7 @@
 from egretrock_standins.soak._run import (
     SoakDeployment,
     SoakResult,
+    play_faults,
     run_soak,
 )
 
@@ -45,6 +47,7 @@
     "LoopbackProxy",
     "Observations",
     "Outcome",
+    "PlayedFault",
     "ProxyMode",
     "RequestRecord",
     "RunRecord",
@@ -54,5 +57,6 @@
     "chart",
     "check_run",
     "make_plan",
+    "play_faults",
     "run_soak",
 ]
--- a/packages/egretrock-standins/src/egretrock_standins/soak/_checks.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/_checks.py
@@ -8,9 +8,8 @@
 from egretrock_standins.soak._plan import (
     ABORTING_KINDS,
     TARGET_LIMIT_PER_S,
-    Fault,
     FaultKind,
-    SoakPlan,
+    PlayedFault,
 )
 from egretrock_standins.virtual import max_count_in_window
 
@@ -45,6 +44,7 @@
     """What was observed in one run.
 
     Attributes:
+        faults: Faults that were played.
         requests: Requests that callers sent.
         runs: Requests that targets ran.
         unready: Gateways that did not serve again in time.
@@ -53,6 +53,7 @@
             faults were over and the change was due everywhere.
     """
 
+    faults: Sequence[PlayedFault]
     requests: Sequence[RequestRecord]
     runs: Sequence[RunRecord]
     unready: Sequence[int]
@@ -67,13 +68,10 @@
     cases: list[str]
 
 
-def check_run(
-    plan: SoakPlan, seen: Observations, drain_s: float
-) -> list[Finding]:
+def check_run(seen: Observations, drain_s: float) -> list[Finding]:
     """Returns the guarantees that were broken.
 
     Args:
-        plan: Plan of the run.
         seen: Observations of the run.
         drain_s: Time in which every gateway must know that a target drains.
     """
@@ -106,12 +104,12 @@
             for r in seen.requests
             if r.outcome is Outcome.CUT
             and runs[r.request_id]
-            and not _may_be_aborted(plan, r)
+            and not _may_be_aborted(seen, r)
         ],
         "a draining target gets no new requests": list(
-            _late_runs(plan, seen, drain_s)
+            _late_runs(seen, drain_s)
         ),
-        "a target gets no more than its limit": list(_excess_runs(plan, seen)),
+        "a target gets no more than its limit": list(_excess_runs(seen)),
         "a revoked key stops working": list(seen.revoked_key_uses),
         "every gateway serves again after the faults": [
             f"gateway {number}" for number in seen.unready
@@ -123,41 +121,39 @@
     return [Finding(name, found) for name, found in cases.items() if found]
 
 
-def _may_be_aborted(plan: SoakPlan, request: RequestRecord) -> bool:
+def _may_be_aborted(seen: Observations, request: RequestRecord) -> bool:
     return any(
         fault.kind in ABORTING_KINDS
         and fault.index == request.gateway
-        and fault.at_s <= request.ended_s
-        and request.sent_s <= fault.end_s + _ABORT_GRACE_S
-        for fault in plan.faults
+        and fault.begun_s <= request.ended_s
+        and request.sent_s <= fault.ended_s + _ABORT_GRACE_S
+        for fault in seen.faults
     )
 
 
-def _late_runs(
-    plan: SoakPlan, seen: Observations, drain_s: float
-) -> Iterator[str]:
+def _late_runs(seen: Observations, drain_s: float) -> Iterator[str]:
     """Yields runs at a target that every gateway must know as draining.
 
     There are none in a run with faults of the store or paused gateways, which
     may delay the update.
     """
-    for fault in plan.faults:
+    for fault in seen.faults:
         if fault.kind is not FaultKind.TARGET_DRAINS:
             continue
-        if any(_delays_updates(other) for other in plan.faults):
+        if any(_delays_updates(other) for other in seen.faults):
             continue
         for run in seen.runs:
-            is_late = fault.at_s + drain_s < run.at_s < fault.end_s
+            is_late = fault.in_effect_s + drain_s < run.at_s < fault.ending_s
             if run.target == fault.index and is_late:
                 yield f"{run.request_id} at {run.at_s:.2f} s"
 
 
-def _excess_runs(plan: SoakPlan, seen: Observations) -> Iterator[str]:
+def _excess_runs(seen: Observations) -> Iterator[str]:
     """Yields the targets that got more than their limit allows."""
     requests = {request.request_id: request for request in seen.requests}
     most = TARGET_LIMIT_PER_S * _LIMIT_WINDOW_S * (1 + _LIMIT_OVERAGE_RATIO)
     most += _LIMIT_SLACK_REQUESTS
-    for fault in plan.faults:
+    for fault in seen.faults:
         if fault.kind is not FaultKind.TARGET_LIMIT:
             continue
         runs = [
@@ -167,31 +163,33 @@
         ]
         told_s: dict[int, float] = {}
         for at_s, request in runs:
-            is_told = request.outcome is Outcome.SERVED and at_s >= fault.at_s
+            is_told = (
+                request.outcome is Outcome.SERVED and at_s >= fault.in_effect_s
+            )
             if is_told:
                 known_s = told_s.get(request.gateway, float("inf"))
                 told_s[request.gateway] = min(known_s, request.ended_s)
         counted_s = sorted(
             at_s
             for at_s, request in runs
-            if fault.at_s + _LIMIT_DELAY_S <= at_s <= fault.end_s
+            if fault.in_effect_s + _LIMIT_DELAY_S <= at_s <= fault.ending_s
             and told_s.get(request.gateway, float("inf")) + _LIMIT_NEWS_S
             <= at_s
-            and not _is_excused(plan, request.gateway, at_s)
+            and not _is_excused(seen, request.gateway, at_s)
         )
         count = max_count_in_window(counted_s, _LIMIT_WINDOW_S)
         if count > most:
             yield f"target {fault.index}: {count} of {most:.0f} in 4 s"
 
 
-def _is_excused(plan: SoakPlan, gateway: int, at_s: float) -> bool:
+def _is_excused(seen: Observations, gateway: int, at_s: float) -> bool:
     return any(
         fault.kind in _LIMIT_EXCUSES
         and fault.index == gateway
-        and fault.at_s <= at_s
-        for fault in plan.faults
+        and fault.begun_s <= at_s
+        for fault in seen.faults
     )
 
 
-def _delays_updates(fault: Fault) -> bool:
+def _delays_updates(fault: PlayedFault) -> bool:
     return fault.kind is FaultKind.PAUSE or fault.kind.value.startswith("store")
--- a/packages/egretrock-standins/src/egretrock_standins/soak/_plan.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/_plan.py
@@ -81,6 +81,28 @@
         return self.at_s + self.duration_s
 
 
+class PlayedFault(NamedTuple):
+    """A fault as it was played; a busy machine plays it later than planned.
+
+    Times are seconds after the start of the load.
+
+    Attributes:
+        kind: Kind of the fault.
+        index: Index of the gateway or target.
+        begun_s: When it may have taken effect for the first time.
+        in_effect_s: From when on it was in effect.
+        ending_s: Until when it was in effect.
+        ended_s: When it may have been in effect for the last time.
+    """
+
+    kind: FaultKind
+    index: int
+    begun_s: float
+    in_effect_s: float
+    ending_s: float
+    ended_s: float
+
+
 class SoakPlan(NamedTuple):
     """The plan of one seed.
 
--- a/packages/egretrock-standins/src/egretrock_standins/soak/_run.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/_run.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple, Protocol
 
 from egretrock_standins.soak._callers import (
@@ -16,7 +16,12 @@
     RunRecord,
     check_run,
 )
-from egretrock_standins.soak._plan import Fault, SoakPlan, make_plan
+from egretrock_standins.soak._plan import (
+    Fault,
+    PlayedFault,
+    SoakPlan,
+    make_plan,
+)
 
 _CALLER_COUNT = 8
 #: Time after the last fault in which every gateway must serve again; the
@@ -101,7 +106,7 @@
         seed,
     )
     try:
-        _run_plan(deployment, plan, callers)
+        faults = play_faults(deployment, plan, callers.now_s)
     finally:
         callers.stop()
     unready = _wait_for_service(deployment)
@@ -113,26 +118,50 @@
         if deployment.serves(number, deployment.keys[1])
     ]
     seen = Observations(
+        faults,
         callers.records,
         deployment.runs(callers.started_s),
         unready,
         deployment.exit_codes(),
         revoked_key_uses,
     )
-    findings = check_run(plan, seen, deployment.drain_s)
+    findings = check_run(seen, deployment.drain_s)
     return SoakResult(plan, callers.records, findings)
 
 
-def _run_plan(
-    deployment: SoakDeployment, plan: SoakPlan, callers: Callers
-) -> None:
-    """Starts and ends the faults, each in a thread so that they may overlap."""
+def play_faults(
+    deployment: SoakDeployment, plan: SoakPlan, elapsed_s: Callable[[], float]
+) -> list[PlayedFault]:
+    """Plays the faults of a plan, each in a thread so that they may overlap.
+
+    Args:
+        deployment: Deployment in which they are caused.
+        plan: Plan of the run.
+        elapsed_s: Returns the seconds since the start of the load.
+
+    Returns:
+        The faults with the times at which they were played.
+    """
+    played = []
 
     def run_fault(fault: Fault) -> None:
-        time.sleep(max(0.0, fault.at_s - callers.now_s()))
+        time.sleep(max(0.0, fault.at_s - elapsed_s()))
+        begun_s = elapsed_s()
         deployment.begin(fault)
-        time.sleep(max(0.0, fault.end_s - callers.now_s()))
+        in_effect_s = elapsed_s()
+        time.sleep(max(0.0, fault.end_s - in_effect_s))
+        ending_s = elapsed_s()
         deployment.end(fault)
+        played.append(
+            PlayedFault(
+                fault.kind,
+                fault.index,
+                begun_s,
+                in_effect_s,
+                ending_s,
+                elapsed_s(),
+            )
+        )
 
     threads = [
         threading.Thread(target=run_fault, args=(fault,))
@@ -140,11 +169,12 @@
     ]
     for thread in threads:
         thread.start()
-    time.sleep(max(0.0, plan.revoke_s - callers.now_s()))
+    time.sleep(max(0.0, plan.revoke_s - elapsed_s()))
     deployment.revoke_key()
-    time.sleep(max(0.0, plan.load_s - callers.now_s()))
+    time.sleep(max(0.0, plan.load_s - elapsed_s()))
     for thread in threads:
         thread.join()
+    return played
 
 
 def _wait_for_service(deployment: SoakDeployment) -> list[int]:
--- a/packages/egretrock-standins/src/egretrock_standins/soak/tests/soak.feature
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/tests/soak.feature
@@ -34,6 +34,13 @@
   Scenario: A seed always gives the same plan, other seeds give others
     Then each of 20 seeds gives the same plan twice, and the plans differ
 
+  # Seed 34, on a machine with a load of 23, killed a gateway 4.6 s later than
+  # planned, and the requests that the kill aborted were reported.
+  Scenario: A fault that is played late is checked at its actual time
+    Given a deployment that needs 0.3 seconds to begin a fault
+    When a kill is played that is planned from 0.1 to 0.2 seconds
+    Then the kill may abort requests from 0.1 to at least 0.4 seconds
+
   Scenario Outline: The mode of the proxy applies to open connections
     Given a server behind a proxy, and an open connection
     When the proxy is set to <mode>
--- a/packages/egretrock-standins/src/egretrock_standins/soak/tests/steps/soak_steps.py
+++ b/packages/egretrock-standins/src/egretrock_standins/soak/tests/steps/soak_steps.py
@@ -11,12 +11,14 @@
     LoopbackProxy,
     Observations,
     Outcome,
+    PlayedFault,
     ProxyMode,
     RequestRecord,
     RunRecord,
     SoakPlan,
     check_run,
     make_plan,
+    play_faults,
 )
 
 DRAIN_S = 2.0
@@ -34,14 +36,25 @@
 
 
 def observations(
-    requests=(), runs=(), unready=(), exit_codes=(), revoked_key_uses=()
+    requests=(),
+    runs=(),
+    unready=(),
+    exit_codes=(),
+    revoked_key_uses=(),
+    faults=(),
 ):
-    return Observations(requests, runs, unready, exit_codes, revoked_key_uses)
+    return Observations(
+        faults, requests, runs, unready, exit_codes, revoked_key_uses
+    )
+
+
+def played(kind, index, at_s, end_s):
+    return PlayedFault(kind, index, at_s, at_s, end_s, end_s)
 
 
 def aborted(kind, runs):
-    fault = Fault(kind, 1, 3.9, 1.0)
-    return [fault], observations([request(Outcome.CUT)], runs)
+    fault = played(kind, 1, 3.9, 4.9)
+    return observations([request(Outcome.CUT)], runs, faults=[fault])
 
 
 def limited(count, from_s=5.0, faults=()):
@@ -53,8 +66,8 @@
     runs = [run("r0", 1.2)] + [
         run(f"r{n + 1}", from_s + n * 0.1) for n in range(count)
     ]
-    fault = Fault(FaultKind.TARGET_LIMIT, 0, 1.0, 9.0)
-    return [fault, *faults], observations(requests, runs)
+    fault = played(FaultKind.TARGET_LIMIT, 0, 1.0, 10.0)
+    return observations(requests, runs, faults=[fault, *faults])
 
 
 CASES = {
@@ -62,59 +75,45 @@
     "a target gets 23 requests in 4 s at a limit of 3/s": limited(23),
     "a target gets 24 requests before its limit binds": limited(24, 1.6),
     "a target gets 24 requests of a restarted gateway": limited(
-        24, 5.0, [Fault(FaultKind.KILL, 1, 2.0, 0.5)]
+        24, 5.0, [played(FaultKind.KILL, 1, 2.0, 2.5)]
     ),
-    "a caller gets the answer to another request": (
-        [],
-        observations([request(Outcome.MIXED)]),
+    "a caller gets the answer to another request": observations(
+        [request(Outcome.MIXED)]
     ),
-    "a payout runs twice": ([], observations([request()], [run(), run()])),
-    "a payout that ran is refused as not run": (
-        [],
-        observations([request(Outcome.REFUSED)], [run()]),
+    "a payout runs twice": observations([request()], [run(), run()]),
+    "a payout that ran is refused as not run": observations(
+        [request(Outcome.REFUSED)], [run()]
     ),
-    "a target runs a request that nobody sent": (
-        [],
-        observations([], [run("other")]),
-    ),
-    "a target sees a key": (
-        [],
-        observations([request()], [run(key_seen=True)]),
+    "a target runs a request that nobody sent": observations(
+        [], [run("other")]
     ),
+    "a target sees a key": observations([request()], [run(key_seen=True)]),
     "a draining gateway aborts a request that ran": aborted(
         FaultKind.STOP, [run()]
     ),
-    "a target runs a request long after its drain began": (
-        [Fault(FaultKind.TARGET_DRAINS, 0, 1.0, 5.0)],
-        observations([request()], [run()]),
-    ),
-    "a revoked key still works": (
-        [],
-        observations(revoked_key_uses=["gateway 1"]),
-    ),
-    "a gateway does not serve again": ([], observations(unready=[2])),
-    "a drained gateway exits with code 1": (
-        [],
-        observations(exit_codes=[0, 1]),
+    "a target runs a request long after its drain began": observations(
+        [request()],
+        [run()],
+        faults=[played(FaultKind.TARGET_DRAINS, 0, 1.0, 6.0)],
     ),
+    "a revoked key still works": observations(revoked_key_uses=["gateway 1"]),
+    "a gateway does not serve again": observations(unready=[2]),
+    "a drained gateway exits with code 1": observations(exit_codes=[0, 1]),
     "a killed gateway aborts a request that ran": aborted(
         FaultKind.KILL, [run()]
     ),
     "a draining gateway aborts a request before it ran": aborted(
         FaultKind.STOP, []
     ),
-    "a read runs twice": (
-        [],
-        observations([request(idempotent=True)], [run(), run()]),
+    "a read runs twice": observations(
+        [request(idempotent=True)], [run(), run()]
     ),
 }
 
 
 @given("a run in which {what}")
 def step_case(context, what):
-    faults, observed = CASES[what]
-    plan = SoakPlan(1, faults, 1.0, 10.0)
-    context.findings = check_run(plan, observed, DRAIN_S)
+    context.findings = check_run(CASES[what], DRAIN_S)
 
 
 @then('the finding is "{guarantee}"')
@@ -137,6 +136,44 @@
     assert len({tuple(plan.faults) for plan in plans}) == count
 
 
+class SlowDeployment:
+    """A deployment on a busy machine."""
+
+    def __init__(self, delay_s):
+        self._delay_s = delay_s
+
+    def begin(self, fault):
+        time.sleep(self._delay_s)
+
+    def end(self, fault):
+        pass
+
+    def revoke_key(self):
+        pass
+
+
+@given("a deployment that needs {delay_s:g} seconds to begin a fault")
+def step_slow(context, delay_s):
+    context.deployment = SlowDeployment(delay_s)
+
+
+@when("a kill is played that is planned from {at_s:g} to {end_s:g} seconds")
+def step_play(context, at_s, end_s):
+    fault = Fault(FaultKind.KILL, 0, at_s, end_s - at_s)
+    started_s = time.monotonic()
+    (context.played,) = play_faults(
+        context.deployment,
+        SoakPlan(1, [fault], 0.0, end_s),
+        lambda: time.monotonic() - started_s,
+    )
+
+
+@then("the kill may abort requests from {at_s:g} to at least {end_s:g} seconds")
+def step_played(context, at_s, end_s):
+    assert at_s <= context.played.begun_s < end_s, context.played
+    assert end_s <= context.played.ended_s, context.played
+
+
 class Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
 
