Show also for chunks that no beginning of an answer is a success

Report of another operator: an instance stopped in the middle of its answer's head and closed, and callers got a 200 with a short body, framed as whole. The scenario cuts an answer with a length, and now also one in chunks, after each of its bytes; only the whole answer is a success. Ruled out for both.

--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -103,17 +103,26 @@
     context.harness = NodeHarness(protocol=protocol)
 
 
-@then("no beginning of an answer with a length is a success for the caller")
-def step_beginnings(context):
-    node = context.harness
+WHOLE_CHUNKED = (
+    b"HTTP/1.1 200 OK\r\nTarget-Instance: i1\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n"
+)
+WHOLE_ANSWERS = {"a length": OK, "chunks": WHOLE_CHUNKED}
+
+
+@then("no beginning of an answer with {framing} is a success for the caller")
+def step_beginnings(context, framing):
+    node, answer = context.harness, WHOLE_ANSWERS[framing]
     (target,) = node.targets
-    for length in range(len(OK)):
-        target.script = [send_and_close(OK[:length])]
+    for length in range(len(answer)):
+        target.script = [send_and_close(answer[:length])]
         try:
             status, _, body = node.caller(GET + b"\r\n").read_answer()
         except (EOFError, ConnectionError):
             continue
-        assert status == 502, (OK[:length], status, body)
+        assert status == 502, (answer[:length], status, body)
+    target.script = [send_and_close(answer)]
+    assert node.caller(GET + b"\r\n").read_answer()[0] == 200
 
 
 @given("a target that keeps idle connections for {keep_s:d} second")
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
@@ -7,9 +7,14 @@
     Then each of 9 malformed answers gives 502 with run state unknown
 
   # Guards against empty or short bodies that look complete to the caller.
-  Scenario: An answer that ends within its head or body is not passed on
+  Scenario Outline: An answer that ends within its head or body is not passed on
     Given targets that may end an answer by closing the connection
-    Then no beginning of an answer with a length is a success for the caller
+    Then no beginning of an answer with <framing> is a success for the caller
+
+    Examples:
+      | framing  |
+      | a length |
+      | chunks   |
 
   Scenario Outline: Bytes without end from a target end the request
     Then a caller gets <end> within 2 s when a target sends <bytes> without end
