--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -289,7 +289,7 @@
             if candidate is not None and not (
                 self._is_eligible(candidate)
                 and self._has_room(candidate)
-                and self._is_within_bounds(candidate, now_s)
+                and self._may_send_or_ask(candidate, now_s)
             ):
                 del probe_round.candidates[target_id]
             if len(probe_round.candidates) >= self.settings.unprobed_choices:
@@ -495,7 +495,7 @@
                 return True
         return False
 
-    def _is_within_bounds(self, candidate: Candidate, now_s: float) -> bool:
+    def _may_send_or_ask(self, candidate: Candidate, now_s: float) -> bool:
         """Returns whether the bounds of a target allow a request now.
 
         If not, asks the home of the target for the next request.
@@ -550,7 +550,7 @@
             ]
             usable.sort(key=lambda candidate: candidate.cost())
             best = next(
-                (c for c in usable if self._is_within_bounds(c, now_s)), None
+                (c for c in usable if self._may_send_or_ask(c, now_s)), None
             )
             if best is None:
                 continue
