--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -283,11 +283,14 @@
     barrier = threading.Barrier(3)
     target.script = [lambda c: (barrier.wait(5) and None) or c.sendall(OK)] * 3
     callers = [node.caller(GET + b"\r\n") for _ in range(3)]
-    assert [caller.read_answer()[0] for caller in callers] == [200] * 3
-    assert len(target.sockets) == 3
+    answers = [caller.read_answer() for caller in callers]
+    assert [answer[0] for answer in answers] == [200] * 3, answers
+    assert len(target.sockets) == 3, target.sockets
     target.script = [keep_silent]
-    assert callers[0].status(GET + b"\r\n") == 200
-    assert len(node.targets[1].heads) == 1
+    callers[0].send(GET + b"\r\n")
+    answer = callers[0].read_answer()
+    assert answer[0] == 200, answer
+    assert len(node.targets[1].heads) == 1, node.targets[1].heads
     failure = node.parts.retries.decide_retry.call_args.args[1]
     assert failure.reason.value == "progress_timeout"
     wait_until(lambda: target.closed_count == 3)
