--- a/packages/egretrock-node/src/egretrock_node/gateway/_reads.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_reads.py
@@ -40,6 +40,7 @@
         self._on_success = on_success
         self._counters = counters
         self._reads_fail = False
+        self._was_ignored = False
         self._was_reader = False
 
     def next_read(self) -> ReadRequest | None:
@@ -51,6 +52,7 @@
     ) -> None:
         """Handles a read of all entries."""
         now_s = self._clock()
+        self._log_ignored(revision, now_s)
         self._send(
             self._directory.on_snapshot(entries, revision, sent_s, now_s)
         )
@@ -102,6 +104,20 @@
             },
         )
 
+    def _log_ignored(self, revision: Revision, now_s: float) -> None:
+        """Logs the first of a series of reads older than the entries."""
+        was_ignored = self._was_ignored
+        self._was_ignored = revision < self._directory.revision
+        if self._was_ignored and not was_ignored:
+            _log.warning(
+                "older platform read ignored",
+                extra={
+                    "read_revision": revision,
+                    "revision": self._directory.revision,
+                    "age_s": round(self._directory.age_s(now_s), 3),
+                },
+            )
+
     def _on_read_succeeded(self, now_s: float) -> None:
         self._counters.increment("platform.reads")
         if self._reads_fail:
