Add a failing test of a platform that is restored from a copy

The virtual store returns to a copy and gives out revisions again. In all five examples the nodes keep the entries of the history that is gone: listed as known red until the fix.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
@@ -70,6 +70,27 @@
     Then all nodes together read everything at most 12 times
     And every node has the first entry
 
+  # Guards against nodes that keep the entries of a history that no longer
+  # exists until the platform has given out as many revisions again.
+  @known_red
+  Scenario Outline: A change reaches every node after the platform was restored
+    Given 19 nodes that have read the platform
+    When the platform is copied, and <lost> entries are written afterwards
+    And it is restored from the copy after <down_s> seconds
+    And <again> entries are written, and an entry is written
+    And 1.9 seconds pass
+    Then every node has the entries of the platform
+    When 6 seconds pass
+    Then every node has the entries of the platform
+
+    Examples:
+      | lost | down_s | again |
+      | 20   | 2.0    | 0     |
+      | 20   | 2.0    | 19    |
+      | 20   | 0.2    | 20    |
+      | 1    | 0.0    | 0     |
+      | 3    | 5.0    | 40    |
+
   # Guards against a node that fails because of one message of a peer.
   Scenario Outline: Fragments that do not fit together are dropped
     Given 19 nodes that have read the platform
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
@@ -162,6 +162,31 @@
     context.fleet.store.put(FIRST_KEY, b"1")
 
 
+@when("the platform is copied, and {count:d} entries are written afterwards")
+def step_copy(context, count):
+    store = context.fleet.store
+    context.copy = store.copy()
+    for number in range(count):
+        store.put(f"lost/{number}", b"lost")
+    context.fleet.run_for(1.0)
+
+
+@when("it is restored from the copy after {span_s:g} seconds")
+def step_restore(context, span_s):
+    store = context.fleet.store
+    store.is_down = True
+    context.fleet.run_for(span_s)
+    store.restore(context.copy)
+    store.is_down = False
+
+
+@when("{count:d} entries are written, and an entry is written")
+def step_write_again_and_new(context, count):
+    for number in range(count):
+        context.fleet.store.put(f"again/{number}", b"again")
+    write_entry(context, NEW_KEY, b"new")
+
+
 @when("the platform goes down")
 def step_start_outage(context):
     context.fleet.store.is_down = True
@@ -213,6 +238,16 @@
         assert not missing, f"{name} lacks {missing}"
 
 
+@then("every node has the entries of the platform")
+def step_has_entries_of_platform(context):
+    fleet = context.fleet
+    expected = {k: value for k, (value, _) in fleet.store.entries.items()}
+    for name, process in fleet.nodes.items():
+        entries = process.directory.entries()
+        differing = [k for k in expected if entries.get(k) != expected[k]]
+        assert not differing, f"{name}: {differing[:5]}"
+
+
 @then("every node still has that entry")
 @then("every node has the first entry")
 def step_has_first_entry(context):
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
@@ -42,6 +42,7 @@
             the history was lost.
         read_count: Number of reads, failed ones included.
         snapshot_read_count: Number of snapshot reads.
+        era: Number of restores from an older copy.
         watchers: Callbacks that run once, at the next change.
     """
 
@@ -53,6 +54,7 @@
         self.history_from = Revision(1)
         self.read_count = 0
         self.snapshot_read_count = 0
+        self.era = 1
         self.watchers: list[Callable[[], None]] = []
         self._history: list[Change] = []
 
@@ -81,6 +83,19 @@
         """Discards the history of changes."""
         self.history_from = self.revision
 
+    def copy(self) -> tuple[dict[str, tuple[bytes, Revision]], list[Change]]:
+        """Returns a copy of the entries and their history."""
+        return dict(self.entries), list(self._history)
+
+    def restore(
+        self, copy: tuple[dict[str, tuple[bytes, Revision]], list[Change]]
+    ) -> None:
+        """Returns to a copy; later revisions are given out again."""
+        entries, history = copy
+        self.entries, self._history = dict(entries), list(history)
+        self.revision = history[-1].revision
+        self.era += 1
+
     def snapshot(self) -> list[Change]:
         """Returns all entries."""
         return [
@@ -221,7 +236,7 @@
             self.send(
                 directory.on_snapshot(entries, store.revision, sent_s, now_s)
             )
-        elif read.after < store.history_from:
+        elif not store.history_from <= read.after <= store.revision:
             self.send(directory.on_history_lost(now_s))
         else:
             changes = store.changes(read.after)
