Log what a planned stop cuts, and which signal came

The record "signal" names each signal. "stop started" says how long the last tick was ago, which bounds how long the signal had waited. "stopped" names what ended the wait for open requests, begun answers that were cut, open connections and bytes that the transport still held. "answer aborted" names its reason. No change of logic.

--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -148,6 +148,7 @@
         incarnation = Incarnation(secrets.randbits(63))
         self.peer = Peer(settings.node, incarnation)
         self.timers = TimerService(self.started_s)
+        self._last_tick_s = self.started_s
         self._make_parts()
         self._make_request_path()
         self._make_endpoints_and_reader()
@@ -470,6 +471,7 @@
     # Timers.
 
     def _on_request_tick(self, now_s: float) -> None:
+        self._last_tick_s = now_s
         self.chooser.on_tick(now_s)
         self.pipeline.on_tick(now_s)
         self.draining.on_tick(now_s)
@@ -600,7 +602,9 @@
     def start_drain(self) -> None:
         """Starts the drain; a second call has no effect."""
         if not self.draining.is_draining:
-            _log.info("stop started")
+            since_tick_ms = round((self.clock() - self._last_tick_s) * 1000)
+            # The signal may have waited for as long as the ticks have.
+            _log.info("stop started", extra={"since_tick_ms": since_tick_ms})
             self.callers.announce_close()
             self.send(self.membership.leave(self.clock()))
         self.draining.start(self.clock())
--- a/packages/egretrock-node/src/egretrock_node/lifecycle/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/lifecycle/__init__.py
@@ -2,6 +2,7 @@
 
 from egretrock_node.lifecycle._drain import (
     DrainController,
+    DrainEnd,
     DrainOutcome,
     DrainPort,
     DrainState,
@@ -10,6 +11,7 @@
 
 __all__ = [
     "DrainController",
+    "DrainEnd",
     "DrainOutcome",
     "DrainPort",
     "DrainState",
--- a/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
+++ b/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
@@ -10,15 +10,25 @@
 from egretrock_node.settings import DrainSettings
 
 
+class DrainEnd(enum.Enum):
+    """Why a drain stopped waiting for its open requests."""
+
+    COMPLETE = "complete"
+    DEADLINE = "deadline"
+    STOPPED = "stopped"
+
+
 class DrainOutcome(msgspec.Struct, frozen=True):
     """Result of a drain.
 
     Attributes:
         aborted_requests: Requests that were aborted; empty after a graceful
             drain.
+        end: Why the drain stopped waiting for open requests.
     """
 
     aborted_requests: list[RequestSnapshot]
+    end: DrainEnd
 
     @property
     def exit_code(self) -> int:
@@ -110,6 +120,7 @@
         self._drain_started_s = 0.0
         self._state_entered_s = 0.0
         self._aborted_requests: list[RequestSnapshot] = []
+        self._end = DrainEnd.COMPLETE
         self.state = DrainState.SERVING
 
     @property
@@ -132,8 +143,7 @@
         """Aborts the open requests and starts the handover immediately."""
         if self.state in _STATES_WITHOUT_REQUESTS:
             return
-        self._aborted_requests = self._port.abort_requests()
-        self._hand_over(now_s)
+        self._abort(DrainEnd.STOPPED, now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Enters the next state when it is due."""
@@ -146,14 +156,19 @@
             if self._port.open_request_count() == 0:
                 self._hand_over(now_s)
             elif now_s - self._drain_started_s >= self._settings.deadline_s:
-                self.stop_now(now_s)
+                self._abort(DrainEnd.DEADLINE, now_s)
         elif self.state is DrainState.HANDING_OVER:
             if self._port.is_handover_complete():
                 self._port.release()
                 self._enter(DrainState.RELEASED, now_s)
         elif self.state is DrainState.RELEASED and in_state_s >= LINGER_S:
             self._enter(DrainState.ENDED, now_s)
-            self._on_stopped(DrainOutcome(self._aborted_requests))
+            self._on_stopped(DrainOutcome(self._aborted_requests, self._end))
+
+    def _abort(self, end: DrainEnd, now_s: float) -> None:
+        self._end = end
+        self._aborted_requests = self._port.abort_requests()
+        self._hand_over(now_s)
 
     def _hand_over(self, now_s: float) -> None:
         self._port.start_handover()
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -231,7 +231,7 @@
         if self.stage is Stage.DONE:
             return
         if self.stage is Stage.ANSWERING:
-            self.abort_answer()
+            self.abort_answer(refusal.message)
             return
         if self.run_state is not RunState.NOT_RUN:
             # An earlier attempt may have run it, whatever the reason now.
@@ -265,12 +265,16 @@
         """Returns the milliseconds since the head arrived."""
         return round((self._pipeline.now() - self.started_s) * 1000)
 
-    def abort_answer(self) -> None:
+    def abort_answer(self, reason: str) -> None:
         """Closes the caller's connection in the middle of the answer."""
         if self.stage is not Stage.DONE:
             _log.info(
                 "answer aborted",
-                extra={"request_id": self.request_id, "age_ms": self.age_ms()},
+                extra={
+                    "request_id": self.request_id,
+                    "reason": reason,
+                    "age_ms": self.age_ms(),
+                },
             )
             self._end("broken", None)
             self._caller.abort()
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -826,7 +826,7 @@
             if exchange.stage is Stage.CHECKING or exchange.is_done:
                 return
         if answering:
-            exchange.abort_answer()
+            exchange.abort_answer(failure.message)
         else:
             self._retry(exchange, attempt, failure, None, now_s)
 
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -241,6 +241,16 @@
             self._linger_timer = None
         super().connectionLost(reason)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the transport has not yet passed to the kernel."""
+        transport = self.transport
+        if transport is None:
+            return 0
+        # Twisted has no public interface for the size of the buffer.
+        buffered_bytes = len(transport.dataBuffer) - transport.offset
+        return buffered_bytes + transport._tempDataLen
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses received bytes."""
         if self._is_refused:
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -124,6 +124,11 @@
         """Number of open connections."""
         return len(self._channels)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of answers that wait in this process for slow callers."""
+        return sum(channel.unsent_bytes for channel in self._channels)
+
     def adopt(self, listening: socket.socket) -> IListeningPort:
         """Accepts connections on a socket that is already listening.
 
--- a/packages/egretrock-node/src/egretrock_node/wiring/_process.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_process.py
@@ -8,6 +8,7 @@
 import logbook
 
 from egretrock_node.lifecycle import DrainOutcome
+from egretrock_node.protocol.requests import Stage
 from egretrock_node.wiring._node import NodeService
 
 
@@ -23,6 +24,7 @@
         self._reactor = reactor
         self._log = log
         self._exit_code = 0
+        self._node: NodeService | None = None
 
     def run(
         self,
@@ -35,6 +37,7 @@
             node: The node, created with this object's ``on_stopped``.
             on_signals: Handlers of signals other than SIGTERM and SIGINT.
         """
+        self._node = node
 
         def stop() -> None:
             if node.draining.is_draining:
@@ -57,13 +60,29 @@
     def on_stopped(self, outcome: DrainOutcome) -> None:
         """Stops the reactor after a drain."""
         self._exit_code = outcome.exit_code
-        self._log.info(
-            "stopped", extra={"requests_cut": len(outcome.aborted_requests)}
-        )
+        requests = outcome.aborted_requests
+        answers_cut = sum(r.stage is Stage.ANSWERING for r in requests)
+        extra = {
+            "requests_cut": len(requests),
+            "answers_cut": answers_cut,
+            "wait_ended_by": outcome.end.value,
+        }
+        if self._node is not None:
+            callers = self._node.callers
+            extra["open_connections"] = callers.connection_count
+            extra["unsent_bytes"] = callers.unsent_bytes
+        self._log.info("stopped", extra=extra)
         self._reactor.stop()
 
     def _run_in_reactor(
         self, handler: Callable[[], None], signal_number: int, frame: Any
     ) -> None:
-        del signal_number, frame
-        self._reactor.callFromThread(handler)
+        del frame
+        self._reactor.callFromThread(self._run_logged, handler, signal_number)
+
+    def _run_logged(
+        self, handler: Callable[[], None], signal_number: int
+    ) -> None:
+        name = signal.Signals(signal_number).name
+        self._log.info("signal", extra={"signal": name})
+        handler()
