Wait on for a silent target that is the last one to ask

Cause: after 1 s, or 20 mean slot times, without progress an attempt was abandoned before the retry policy was asked. Where the policy then refused (budget, number of tries), the request failed although its target was at work. A begun answer, which cannot be sent again, was always cut.

Fix: the retry is decided first, and the attempt is abandoned only if it is allowed; otherwise it goes on until the deadline. Begun answers go on until the deadline.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -393,6 +393,8 @@
         handle: Controls the attempt on its connection.
         is_active: Whether the attempt has not ended; events are ignored after
             its end.
+        is_kept: Whether the attempt goes on until the deadline although its
+            target is silent.
         is_sent: Whether the head was prepared for sending, so that the target
             may have got it.
         earlier_run_state: Run state of the request after its earlier attempts.
@@ -411,6 +413,7 @@
         self.permit = permit
         self.handle: AttemptHandle = None  # type: ignore[assignment]
         self.is_active = True
+        self.is_kept = False
         self.is_sent = False
         self.earlier_run_state = RunState.NOT_RUN
         self.upload_blocked = False
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -207,7 +207,7 @@
             elif exchange.silent_s(now_s) >= self._silence_limit_s(
                 exchange
             ) and self._is_worth_abandoning(exchange):
-                self._abandon_silent(exchange)
+                self._retry_silent(exchange, now_s)
         self._parts.queue.expire(now_s)
         self._refuse_evicted()
         self.poll(now_s)
@@ -746,15 +746,14 @@
         return min(longest_s, limit_s)
 
     def _is_worth_abandoning(self, exchange: Exchange) -> bool:
-        """Returns whether ending a silent attempt early can help.
+        """Returns whether another target may answer instead of a silent one.
 
-        It cannot if the request must not be sent to another target or none
-        exists: then the answer may still arrive before the deadline. An answer
-        that was already started to the caller is always aborted.
+        If not, the answer may still arrive, or go on, before the deadline.
         """
-        if exchange.stage is Stage.ANSWERING:
-            return True
-        excluded = exchange.excluded | {exchange.attempt.permit.target}
+        attempt = exchange.attempt
+        if exchange.stage is Stage.ANSWERING or attempt.is_kept:
+            return False
+        excluded = exchange.excluded | {attempt.permit.target}
         return exchange.is_idempotent and self._has_other_target(
             exchange, excluded
         )
@@ -889,45 +888,63 @@
         refusal = self._recheck(exchange, now_s)
         if refusal is not None:
             exchange.refuse(refusal)
-            return
-        excluded = exchange.excluded | {attempt.permit.target}
-        if self._is_retryable(exchange, attempt) and self._has_other_target(
-            exchange, excluded
+        elif self._is_retry_allowed(
+            exchange, attempt, failure, is_alive, now_s
         ):
-            decision = self._parts.retries.decide_retry(
-                RetryState(
-                    service=exchange.match.route.service,
-                    idempotent=exchange.is_idempotent,
-                    attempt_count=exchange.attempt_count,
-                    tried_targets=excluded,
-                    deadline_s=exchange.deadline_s,
-                    fingerprint=exchange.fingerprint,
-                    max_tries=exchange.match.route.max_tries,
-                ),
-                FailedAttempt(failure.reason, attempt.is_sent, is_alive),
-                now_s,
-            )
-            _log.info(
-                "try failed",
-                extra={
-                    "request_id": exchange.request_id,
-                    "target": attempt.permit.target,
-                    "reason": failure.reason.value,
-                    "text": failure.message,
-                    "run_state": failure.run_state.value,
-                    "target_alive": is_alive,
-                    "sent_again": decision.allowed,
-                    "not_again_because": decision.refusal
-                    and decision.refusal.value,
-                    "age_ms": exchange.age_ms(),
-                },
-            )
-            if decision.allowed:
-                exchange.excluded = excluded
-                self._new_ticket(exchange)
-                self._ask_permit(exchange, now_s)
-                return
-        exchange.refuse(refusal_after(failure))
+            self._send_again(exchange, attempt, now_s)
+        else:
+            exchange.refuse(refusal_after(failure))
+
+    def _is_retry_allowed(
+        self,
+        exchange: Exchange,
+        attempt: Attempt,
+        failure: AttemptFailure,
+        is_alive: bool | None,
+        now_s: float,
+    ) -> bool:
+        """Returns whether to retry, and takes it from the budget if so."""
+        excluded = exchange.excluded | {attempt.permit.target}
+        if not self._is_retryable(exchange, attempt):
+            return False
+        if not self._has_other_target(exchange, excluded):
+            return False
+        decision = self._parts.retries.decide_retry(
+            RetryState(
+                service=exchange.match.route.service,
+                idempotent=exchange.is_idempotent,
+                attempt_count=exchange.attempt_count,
+                tried_targets=excluded,
+                deadline_s=exchange.deadline_s,
+                fingerprint=exchange.fingerprint,
+                max_tries=exchange.match.route.max_tries,
+            ),
+            FailedAttempt(failure.reason, attempt.is_sent, is_alive),
+            now_s,
+        )
+        _log.info(
+            "try failed",
+            extra={
+                "request_id": exchange.request_id,
+                "target": attempt.permit.target,
+                "reason": failure.reason.value,
+                "text": failure.message,
+                "run_state": failure.run_state.value,
+                "target_alive": is_alive,
+                "sent_again": decision.allowed,
+                "not_again_because": decision.refusal
+                and decision.refusal.value,
+                "age_ms": exchange.age_ms(),
+            },
+        )
+        return decision.allowed
+
+    def _send_again(
+        self, exchange: Exchange, attempt: Attempt, now_s: float
+    ) -> None:
+        exchange.excluded |= {attempt.permit.target}
+        self._new_ticket(exchange)
+        self._ask_permit(exchange, now_s)
 
     def cancel_pending(
         self, exchange: Exchange, outcome: AttemptOutcome
@@ -997,14 +1014,29 @@
         self.cancel_pending(exchange, AttemptOutcome.TIMEOUT)
         exchange.refuse(DEADLINE_EXCEEDED)
 
-    def _abandon_silent(self, exchange: Exchange) -> None:
+    def _retry_silent(self, exchange: Exchange, now_s: float) -> None:
+        """Sends a request again whose target is silent, or waits on.
+
+        The attempt is abandoned only once the retry is allowed: otherwise the
+        silent target is the only one that can still answer.
+        """
         attempt = exchange.attempt
-        attempt.abandon(silent=True)
-        message = "the target made no progress"
         failure = AttemptFailure(
-            RetryReason.PROGRESS_TIMEOUT, RunState.UNKNOWN, message
+            RetryReason.PROGRESS_TIMEOUT,
+            RunState.UNKNOWN,
+            "the target made no progress",
         )
-        self.on_attempt_failed(exchange, attempt, failure)
+        if self._recheck(
+            exchange, now_s
+        ) is not None or not self._is_retry_allowed(
+            exchange, attempt, failure, None, now_s
+        ):
+            attempt.is_kept = True
+            return
+        attempt.abandon(silent=True)
+        outcome = _OUTCOME_BY_REASON[failure.reason]
+        self._discard_attempt(exchange, attempt, outcome, now_s)
+        self._send_again(exchange, attempt, now_s)
 
     def _discard_attempt(
         self,
