Let a repeated SIGTERM change nothing

Callers saw 502 on requests at which a target worked: 4 of 4 reads of 0.9 s, 0.2 s after the first SIGTERM, where a second one followed.

Cause: a signal during a stop aborted all open requests at once. The log of such a stop has two records "signal" and wait_ended_by "stopped".

Fix: SIGTERM starts the stop and does nothing more; whoever sends it ends the grace period with SIGKILL. SIGINT during a stop still ends it at once, for an operator at a terminal.

--- a/packages/egretrock-node/src/egretrock_node/wiring/_process.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_process.py
@@ -39,13 +39,18 @@
         """
         self._node = node
 
-        def stop() -> None:
+        def interrupt() -> None:
             if node.draining.is_draining:
                 node.stop_now()
             else:
                 node.start_drain()
 
-        handlers = {signal.SIGTERM: stop, signal.SIGINT: stop}
+        # Service managers may repeat SIGTERM; they end the grace period with
+        # SIGKILL. Only an operator at a terminal can cut it short.
+        handlers = {
+            signal.SIGTERM: node.start_drain,
+            signal.SIGINT: interrupt,
+        }
         handlers.update(on_signals or {})
         with node:
             for signal_number, handler in handlers.items():
