Close no connection whose caller has not taken its whole answer

Callers that read slowly saw a status, a part of the body and a reset: 4 of 4 answers of 6 MB whose caller paused for 3.3 s when SIGTERM came, 2 of 40 of up to 4 MB with a pause of 4 s.

Cause: an exchange ends when the last byte of its target has arrived, while up to 128 KB may wait in the transport. The gateway's drain counted requests, not connections, and ended the reactor 0.3 s after the last one; nothing is sent then. A connection was also aborted after twice the idle time, 2 s in a drain, and 1 s after its write side was closed, whatever was unsent.

Fix: the drain of the gateway waits for connections too, as that of the daemon did, within its deadline. Connections that are being closed are aborted only after 30 s (unsent_timeout_s), counted from the close, or once nothing is unsent.

--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -442,10 +442,6 @@
 
     # Methods of DrainPort; NodeService implements the others.
 
-    def open_request_count(self) -> int:
-        """Returns the number of open requests and connections."""
-        return self.pipeline.in_flight_count + self.callers.connection_count
-
     def start_handover(self) -> None:
         """Starts the handover of rate shares and records to other nodes."""
         now_s = self.clock()
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -616,10 +616,6 @@
 
     # Methods of DrainPort.
 
-    def open_request_count(self) -> int:
-        """Returns the number of unanswered requests."""
-        return self.pipeline.in_flight_count
-
     def start_handover(self) -> None:
         """Refuses new requests; no state is handed over."""
         self.pipeline.refuse_new_requests()
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -227,6 +227,7 @@
         self.is_awaiting_head = True
         self._is_refused = False
         self._linger_timer = None
+        self._closing_since_s: float | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Registers the connection with the server."""
@@ -403,13 +404,34 @@
             self._networkProducer.resumeProducing()
             self._networkProducer.unregisterProducer()
             self.transport.loseWriteConnection()
-            self._linger_timer = self.server.call_later(
-                self.server.settings.linger_s, self._close_now
-            )
+            self._closing_since_s = self.server.now()
+            self._start_linger()
+
+    def close_idle(self) -> None:
+        """Closes the connection once the caller has taken its last answer."""
+        now_s = self.server.now()
+        if self._closing_since_s is None:
+            self._closing_since_s = now_s
+            self.loseConnection()
+        elif self._has_waited_for_caller(now_s):
+            self.transport.abortConnection()
 
     def _close_now(self) -> None:
         self._linger_timer = None
-        self.transport.abortConnection()
+        now_s = self.server.now()
+        if not self.unsent_bytes or self._has_waited_for_caller(now_s):
+            self.transport.abortConnection()
+        else:
+            self._start_linger()
+
+    def _start_linger(self) -> None:
+        self._linger_timer = self.server.call_later(
+            self.server.settings.linger_s, self._close_now
+        )
+
+    def _has_waited_for_caller(self, now_s: float) -> bool:
+        waited_s = now_s - self._closing_since_s
+        return waited_s >= self.server.settings.unsent_timeout_s
 
     def _respondToBadRequestAndDisconnect(self) -> None:  # noqa: N802
         """Refuses requests with errors that twisted.web itself detects."""
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -28,6 +28,8 @@
         head_timeout_s: Timeout for receiving a complete head.
         linger_s: Time for which a connection that is being closed still
             reads, so that the caller gets the answer.
+        unsent_timeout_s: Time after which a connection that is being closed is
+            aborted although its caller has not taken the whole answer.
         drain_idle_timeout_s: Idle time after which a drain closes a connection.
             Closing without it could race with a request in transit.
     """
@@ -38,6 +40,7 @@
     idle_timeout_s: float = 75.0
     head_timeout_s: float = 10.0
     linger_s: float = 1.0
+    unsent_timeout_s: float = 30.0
     drain_idle_timeout_s: float = 1.0
 
 
@@ -198,12 +201,8 @@
                         f"the head took more than {settings.head_timeout_s} s"
                     )
                     channel.refuse_and_close(bad_request(message))
-            elif now_s - channel.idle_since_s >= 2 * idle_s:
-                # ``loseConnection`` was called at ``idle_s``, but the caller
-                # does not read the rest of its last answer.
-                channel.transport.abortConnection()
             elif now_s - channel.idle_since_s >= idle_s:
-                channel.loseConnection()
+                channel.close_idle()
         self._counters.gauge("caller_connections.open", len(self._channels))
 
     def buildProtocol(self, addr: IAddress) -> Protocol | None:  # noqa: N802
--- a/packages/egretrock-node/src/egretrock_node/wiring/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_node.py
@@ -59,6 +59,14 @@
         self.callers.drain()
         self.pipeline.refuse_beyond(self.draining.ends_s)
 
+    def open_request_count(self) -> int:
+        """Returns the number of requests and connections still open.
+
+        A connection stays open until its caller has taken the whole answer,
+        or until the caller has been idle.
+        """
+        return self.pipeline.in_flight_count + self.callers.connection_count
+
     def abort_requests(self) -> list[RequestSnapshot]:
         """Aborts the requests in flight and returns them."""
         aborted_requests = self.pipeline.abort_requests()
