Count the grace time of a stop from before it was noticed

Callers saw answers of the gateway, or a reset, on requests that a target had begun to run late in the grace time: 4 of 4 reads of 3.0 s, sent 3.2 s after SIGTERM to a gateway that ran again 1.2 s after it.

Cause: the times of the drain were counted from when the process noticed the signal. A process that gets no processor for a second then takes requests of any deadline until 3.5 s after SIGTERM, and promises to finish requests by a time at which SIGKILL has ended it.

Fix: the signal cannot have been sent before the latest tick of the timers. From there on count the time from which requests that outlast the drain are refused, and the time that the drain grants. The listener stays open for the whole notice after the signal was noticed, and requests are aborted no earlier than before, as an early abort cuts answers too. The pipeline checks both times when it acts, instead of being told by a timer. During a drain no attempt is given up for silence if its request may outlast the drain: a second attempt would start later than the first.

The steps of two existing tests call the renamed methods; their checks are unchanged.

--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -139,6 +139,7 @@
     """
 
     log = _log
+    drain_message = "drain started"
 
     def __init__(
         self,
@@ -160,6 +161,7 @@
             Incarnation(secrets.randbits(63)),
         )
         self.timers = TimerService(self.started_s)
+        self.last_tick_s = self.started_s
         self._make_parts()
         self._make_request_path(adapters)
         self._make_sockets(adapters)
@@ -427,11 +429,8 @@
         config = self.fleet.config()
         return None if config is None else msgspec.json.encode(config)
 
-    def start_drain(self) -> None:
-        """Starts a drain; further calls have no effect."""
-        if not self.draining.is_draining:
-            _log.info("drain started")
-        self.draining.start(self.clock())
+    def _on_drain_started(self, now_s: float) -> None:
+        """Does nothing: other nodes learn of it with the handover."""
 
     def _is_data_centre_out(self) -> bool:
         config = self.fleet.config()
--- a/packages/egretrock-node/src/egretrock_node/daemon/tests/steps/daemon_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/tests/steps/daemon_steps.py
@@ -78,7 +78,7 @@
 @when("the drain starts and {seconds:d} second passes")
 @when("the drain starts and {seconds:d} seconds pass")
 def step_drain(context, seconds):
-    context.draining.start(context.now_s)
+    context.draining.start(context.now_s, context.now_s)
     pass_time(context, seconds)
 
 
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -122,6 +122,7 @@
     """
 
     log = _log
+    drain_message = "stop started"
 
     def __init__(
         self,
@@ -148,7 +149,7 @@
         incarnation = Incarnation(secrets.randbits(63))
         self.peer = Peer(settings.node, incarnation)
         self.timers = TimerService(self.started_s)
-        self._last_tick_s = self.started_s
+        self.last_tick_s = self.started_s
         self._make_parts()
         self._make_request_path()
         self._make_endpoints_and_reader()
@@ -471,7 +472,6 @@
     # Timers.
 
     def _on_request_tick(self, now_s: float) -> None:
-        self._last_tick_s = now_s
         self.chooser.on_tick(now_s)
         self.pipeline.on_tick(now_s)
         self.draining.on_tick(now_s)
@@ -599,15 +599,10 @@
             reasons.append("no configuration is known")
         return reasons
 
-    def start_drain(self) -> None:
-        """Starts the drain; a second call has no effect."""
-        if not self.draining.is_draining:
-            since_tick_ms = round((self.clock() - self._last_tick_s) * 1000)
-            # The signal may have waited for as long as the ticks have.
-            _log.info("stop started", extra={"since_tick_ms": since_tick_ms})
-            self.callers.announce_close()
-            self.send(self.membership.leave(self.clock()))
-        self.draining.start(self.clock())
+    def _on_drain_started(self, now_s: float) -> None:
+        """Announces the drain to callers and other nodes."""
+        self.callers.announce_close()
+        self.send(self.membership.leave(now_s))
 
     def reload(self, settings: GatewaySettings) -> None:
         """Applies the settings that may change at run time: the seeds."""
--- a/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
+++ b/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
@@ -118,6 +118,7 @@
         self._settings = settings
         self._on_stopped = on_stopped
         self._drain_started_s = 0.0
+        self._requested_s = 0.0
         self._state_entered_s = 0.0
         self._aborted_requests: list[RequestSnapshot] = []
         self._end = DrainEnd.COMPLETE
@@ -128,15 +129,31 @@
         """Whether a drain has begun."""
         return self.state is not DrainState.SERVING
 
+    @property
+    def refuses_from_s(self) -> float:
+        """Time from which a drain refuses requests that it may abort."""
+        return self._requested_s + self._settings.notice_s
+
     @property
     def ends_s(self) -> float:
-        """Time at which a drain that has begun aborts the open requests."""
-        return self._drain_started_s + self._settings.deadline_s
+        """Earliest time at which open requests may be aborted.
+
+        A process that notices its stop late may be killed before its own
+        deadline.
+        """
+        return self._requested_s + self._settings.deadline_s
+
+    def start(self, now_s: float, requested_s: float) -> None:
+        """Starts the drain; a second call has no effect.
 
-    def start(self, now_s: float) -> None:
-        """Starts the drain; a second call has no effect."""
+        Args:
+            now_s: Time.
+            requested_s: Earliest time at which the stop may have been
+                requested.
+        """
         if self.state is DrainState.SERVING:
             self._drain_started_s = now_s
+            self._requested_s = requested_s
             self._enter(DrainState.NOTICE, now_s)
 
     def stop_now(self, now_s: float) -> None:
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -174,7 +174,7 @@
         self._suspicions = CrashSuspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
         self._refuses_new = False
-        self._serves_until_s = float("inf")
+        self._refuses_from_s = self._serves_until_s = float("inf")
         self._is_polling_permits = False
         self._poll_permits_again = False
 
@@ -224,11 +224,15 @@
         """Refuses all new requests from now on; used at the end of a drain."""
         self._refuses_new = True
 
-    def refuse_beyond(self, end_s: float) -> None:
-        """Refuses new requests whose deadline is after ``end_s``.
+    def start_drain(self, refuse_from_s: float, end_s: float) -> None:
+        """Prepares for a drain that aborts the open requests at ``end_s``.
 
-        The node would abort them at the end of its drain, when they may run.
+        Args:
+            refuse_from_s: Time from which new requests whose deadline is after
+                ``end_s`` are refused, as they may still run then.
+            end_s: Earliest time at which open requests are aborted.
         """
+        self._refuses_from_s = refuse_from_s
         self._serves_until_s = end_s
 
     def snapshots(self) -> list[RequestSnapshot]:
@@ -323,7 +327,10 @@
             return NOT_FRESH
         if not fleet.is_ready(now_s):
             return NOT_READY
-        if self._refuses_new or exchange.deadline_s > self._serves_until_s:
+        if self._refuses_new or (
+            now_s >= self._refuses_from_s
+            and exchange.deadline_s > self._serves_until_s
+        ):
             return NODE_STOPPING
         out_since_s = self._config_in_force.out_since_s
         if (
@@ -753,6 +760,10 @@
         attempt = exchange.attempt
         if exchange.stage is Stage.ANSWERING or attempt.is_kept:
             return False
+        if exchange.deadline_s > self._serves_until_s:
+            # The drain may abort a second attempt that the first, which
+            # started earlier, does not need.
+            return False
         excluded = exchange.excluded | {attempt.permit.target}
         return exchange.is_idempotent and self._has_other_target(
             exchange, excluded
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -174,11 +174,11 @@
     ),
     "each permit expires": set_return("permits", "may_dispatch", False),
     "the queue evicts it for another": evict_first,
-    "the node has 1 second left": lambda c: c.pipeline.refuse_beyond(
-        c.now_s + 1.0
+    "the node has 1 second left": lambda c: c.pipeline.start_drain(
+        c.now_s, c.now_s + 1.0
     ),
-    "the node has 2 seconds left": lambda c: c.pipeline.refuse_beyond(
-        c.now_s + 2.0
+    "the node has 2 seconds left": lambda c: c.pipeline.start_drain(
+        c.now_s, c.now_s + 2.0
     ),
     "no node knows whether a key was used": lambda c: setattr(
         c.parts.idempotency, "outcome", BeginOutcome.UNAVAILABLE
--- a/packages/egretrock-node/src/egretrock_node/wiring/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_node.py
@@ -20,6 +20,7 @@
 
     Attributes:
         log: Logger of the node.
+        drain_message: Message of the record of a drain's start.
         clock: Returns monotonic seconds that include suspended time.
         peer: Address and incarnation of this node.
         timers: Periodic timers of the node.
@@ -28,9 +29,11 @@
         pipeline: Processes the requests of this node.
         callers: Server for the connections of callers.
         draining: State machine of the drain.
+        last_tick_s: Time of the latest tick of the timers.
     """
 
     log: logbook.Logger
+    drain_message: str
     clock: Callable[[], float]
     peer: Peer
     timers: TimerService
@@ -39,10 +42,32 @@
     pipeline: RequestPipeline
     callers: CallerServer
     draining: DrainController
+    last_tick_s: float
+
+    def start_drain(self, requested_s: float | None = None) -> None:
+        """Starts the drain; a second call has no effect.
+
+        Args:
+            requested_s: Earliest time at which the stop may have been
+                requested; None for now.
+        """
+        if self.draining.is_draining:
+            return
+        now_s = self.clock()
+        requested_s = now_s if requested_s is None else requested_s
+        noticed_ms = round((now_s - requested_s) * 1000)
+        self.log.info(
+            self.drain_message, extra={"noticed_within_ms": noticed_ms}
+        )
+        self.draining.start(now_s, requested_s)
+        self.pipeline.start_drain(
+            self.draining.refuses_from_s, self.draining.ends_s
+        )
+        self._on_drain_started(now_s)
 
     @abc.abstractmethod
-    def start_drain(self) -> None:
-        """Starts the drain; a second call has no effect."""
+    def _on_drain_started(self, now_s: float) -> None:
+        """Announces the drain to callers or other nodes."""
 
     def send(self, messages: list[Outbound]) -> None:
         """Sends messages; delivers those to this node itself at once."""
@@ -57,7 +82,6 @@
     def stop_accepting(self) -> None:
         """Stops accepting; open connections close after their request."""
         self.callers.drain()
-        self.pipeline.refuse_beyond(self.draining.ends_s)
 
     def open_request_count(self) -> int:
         """Returns the number of requests and connections still open.
@@ -85,4 +109,5 @@
         return aborted_requests
 
     def _advance_timers(self) -> None:
-        self.timers.advance(self.clock())
+        self.last_tick_s = self.clock()
+        self.timers.advance(self.last_tick_s)
--- a/packages/egretrock-node/src/egretrock_node/wiring/_process.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_process.py
@@ -25,6 +25,8 @@
         self._log = log
         self._exit_code = 0
         self._node: NodeService | None = None
+        #: Earliest time at which the latest signal may have been sent.
+        self._signalled_s: float | None = None
 
     def run(
         self,
@@ -48,7 +50,7 @@
         # Service managers may repeat SIGTERM; they end the grace period with
         # SIGKILL. Only an operator at a terminal can cut it short.
         handlers = {
-            signal.SIGTERM: node.start_drain,
+            signal.SIGTERM: lambda: node.start_drain(self._signalled_s),
             signal.SIGINT: interrupt,
         }
         handlers.update(on_signals or {})
@@ -83,6 +85,8 @@
         self, handler: Callable[[], None], signal_number: int, frame: Any
     ) -> None:
         del frame
+        # A signal that came while the process did not run is noticed only now.
+        self._signalled_s = self._node.last_tick_s
         self._reactor.callFromThread(self._run_logged, handler, signal_number)
 
     def _run_logged(
