Accept callers at once when a starting gateway is to stop

Callers who had connected while a gateway had no configuration yet waited in its listen backlog and were reset 2.75 s after SIGTERM (24 of 24 requests in three tries, with the store down); those that connected in the notice too.

Cause: a gateway that drains started no listener, so nobody accepted or refused what waited until the process ended.

Fix: the start of a drain accepts at once; requests are refused with 503, which promises that they have not run, or served if a configuration arrives. Signal handlers are installed before the node starts, so that no SIGTERM finds the default action after the record "started".

"Callers of a gateway that is stopped before it accepts are refused" failed before (1 of 1) and passes now. stops.feature: 7 scenarios passed, three times in a row.

--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -362,14 +362,19 @@
         """Starts to accept callers once a configuration is known.
 
         Until then connections wait in the listen backlog. After
-        ``_MAX_ACCEPT_DELAY_S`` they are accepted anyway and refused, so that
-        callers can retry.
+        ``_MAX_ACCEPT_DELAY_S``, or when the node is to stop, they are accepted
+        anyway and refused, so that callers can retry.
         """
         listener = self._caller_socket
         waited_s = now_s - self.started_s
-        if listener is None or self.draining.is_draining:
+        if listener is None:
             return
-        if self.publication.config() is None and waited_s < _MAX_ACCEPT_DELAY_S:
+        may_wait = (
+            self.publication.config() is None
+            and waited_s < _MAX_ACCEPT_DELAY_S
+            and not self.draining.is_draining
+        )
+        if may_wait:
             return
         self._caller_socket = None
         self.callers.adopt(listener)
@@ -602,6 +607,7 @@
     def _on_drain_started(self, now_s: float) -> None:
         """Announces the drain to callers and other nodes."""
         self.callers.announce_close()
+        self._accept(now_s)
         self.send(self.membership.leave(now_s))
 
     def reload(self, settings: GatewaySettings) -> None:
--- a/packages/egretrock-node/src/egretrock_node/wiring/_process.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_process.py
@@ -54,14 +54,14 @@
             signal.SIGINT: interrupt,
         }
         handlers.update(on_signals or {})
+        for signal_number, handler in handlers.items():
+            signal.signal(
+                signal_number,
+                functools.partial(self._run_in_reactor, handler),
+            )
+        # Signals that a launcher blocked during the start come in now.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
         with node:
-            for signal_number, handler in handlers.items():
-                signal.signal(
-                    signal_number,
-                    functools.partial(self._run_in_reactor, handler),
-                )
-            # Signals that a launcher blocked during the start come in now.
-            signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)
             # The reactor must not replace these handlers with its own.
             self._reactor.run(installSignalHandlers=False)
         return self._exit_code
