--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -122,6 +122,7 @@
     """
 
     log = _log
+    drain_message = "stop started"
 
     def __init__(
         self,
@@ -148,6 +149,7 @@
         incarnation = Incarnation(secrets.randbits(63))
         self.peer = Peer(settings.node, incarnation)
         self.timers = TimerService(self.started_s)
+        self.last_tick_s = self.started_s
         self._make_parts()
         self._make_request_path()
         self._make_endpoints_and_reader()
@@ -361,14 +363,19 @@
         """Starts to accept callers once a configuration is known.
 
         Until then connections wait in the listen backlog. After
-        ``_MAX_ACCEPT_DELAY_S`` they are accepted anyway and refused, so that
-        callers can retry.
+        ``_MAX_ACCEPT_DELAY_S``, or when the node is to stop, they are accepted
+        anyway and refused, so that callers can retry.
         """
         listener = self._caller_socket
         waited_s = now_s - self.started_s
-        if listener is None or self.draining.is_draining:
+        if listener is None:
             return
-        if self.publication.config() is None and waited_s < _MAX_ACCEPT_DELAY_S:
+        may_wait = (
+            self.publication.config() is None
+            and waited_s < _MAX_ACCEPT_DELAY_S
+            and not self.draining.is_draining
+        )
+        if may_wait:
             return
         self._caller_socket = None
         self.callers.adopt(listener)
@@ -600,13 +607,11 @@
             reasons.append("no configuration is known")
         return reasons
 
-    def start_drain(self) -> None:
-        """Starts the drain; a second call has no effect."""
-        if not self.draining.is_draining:
-            _log.info("stop started")
-            self.callers.announce_close()
-            self.send(self.membership.leave(self.clock()))
-        self.draining.start(self.clock())
+    def _on_drain_started(self, now_s: float) -> None:
+        """Announces the drain to callers and other nodes."""
+        self.callers.announce_close()
+        self._accept(now_s)
+        self.send(self.membership.leave(now_s))
 
     def reload(self, settings: GatewaySettings) -> None:
         """Applies the settings that may change at run time: the seeds."""
@@ -615,10 +620,6 @@
 
     # Methods of DrainPort.
 
-    def open_request_count(self) -> int:
-        """Returns the number of unanswered requests."""
-        return self.pipeline.in_flight_count
-
     def start_handover(self) -> None:
         """Refuses new requests; no state is handed over."""
         self.pipeline.refuse_new_requests()
--- a/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
+++ b/packages/egretrock-node/src/egretrock_node/lifecycle/_drain.py
@@ -10,15 +10,25 @@
 from egretrock_node.settings import DrainSettings
 
 
+class DrainEnd(enum.Enum):
+    """Why a drain stopped waiting for its open requests."""
+
+    COMPLETE = "complete"
+    DEADLINE = "deadline"
+    STOPPED = "stopped"
+
+
 class DrainOutcome(msgspec.Struct, frozen=True):
     """Result of a drain.
 
     Attributes:
         aborted_requests: Requests that were aborted; empty after a graceful
             drain.
+        end: Why the drain stopped waiting for open requests.
     """
 
     aborted_requests: list[RequestSnapshot]
+    end: DrainEnd
 
     @property
     def exit_code(self) -> int:
@@ -108,8 +118,10 @@
         self._settings = settings
         self._on_stopped = on_stopped
         self._drain_started_s = 0.0
+        self._requested_s = 0.0
         self._state_entered_s = 0.0
         self._aborted_requests: list[RequestSnapshot] = []
+        self._end = DrainEnd.COMPLETE
         self.state = DrainState.SERVING
 
     @property
@@ -117,23 +129,38 @@
         """Whether a drain has begun."""
         return self.state is not DrainState.SERVING
 
+    @property
+    def refuses_from_s(self) -> float:
+        """Time from which a drain refuses requests that it may abort."""
+        return self._requested_s + self._settings.notice_s
+
     @property
     def ends_s(self) -> float:
-        """Time at which a drain that has begun aborts the open requests."""
-        return self._drain_started_s + self._settings.deadline_s
+        """Earliest time at which open requests may be aborted.
+
+        A process that notices its stop late may be killed before its own
+        deadline.
+        """
+        return self._requested_s + self._settings.deadline_s
 
-    def start(self, now_s: float) -> None:
-        """Starts the drain; a second call has no effect."""
+    def start(self, now_s: float, requested_s: float) -> None:
+        """Starts the drain; a second call has no effect.
+
+        Args:
+            now_s: Time.
+            requested_s: Earliest time at which the stop may have been
+                requested.
+        """
         if self.state is DrainState.SERVING:
             self._drain_started_s = now_s
+            self._requested_s = requested_s
             self._enter(DrainState.NOTICE, now_s)
 
     def stop_now(self, now_s: float) -> None:
         """Aborts the open requests and starts the handover immediately."""
         if self.state in _STATES_WITHOUT_REQUESTS:
             return
-        self._aborted_requests = self._port.abort_requests()
-        self._hand_over(now_s)
+        self._abort(DrainEnd.STOPPED, now_s)
 
     def on_tick(self, now_s: float) -> None:
         """Enters the next state when it is due."""
@@ -146,14 +173,19 @@
             if self._port.open_request_count() == 0:
                 self._hand_over(now_s)
             elif now_s - self._drain_started_s >= self._settings.deadline_s:
-                self.stop_now(now_s)
+                self._abort(DrainEnd.DEADLINE, now_s)
         elif self.state is DrainState.HANDING_OVER:
             if self._port.is_handover_complete():
                 self._port.release()
                 self._enter(DrainState.RELEASED, now_s)
         elif self.state is DrainState.RELEASED and in_state_s >= LINGER_S:
             self._enter(DrainState.ENDED, now_s)
-            self._on_stopped(DrainOutcome(self._aborted_requests))
+            self._on_stopped(DrainOutcome(self._aborted_requests, self._end))
+
+    def _abort(self, end: DrainEnd, now_s: float) -> None:
+        self._end = end
+        self._aborted_requests = self._port.abort_requests()
+        self._hand_over(now_s)
 
     def _hand_over(self, now_s: float) -> None:
         self._port.start_handover()
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -231,7 +231,7 @@
         if self.stage is Stage.DONE:
             return
         if self.stage is Stage.ANSWERING:
-            self.abort_answer()
+            self.abort_answer(refusal.message)
             return
         if self.run_state is not RunState.NOT_RUN:
             # An earlier attempt may have run it, whatever the reason now.
@@ -265,12 +265,16 @@
         """Returns the milliseconds since the head arrived."""
         return round((self._pipeline.now() - self.started_s) * 1000)
 
-    def abort_answer(self) -> None:
+    def abort_answer(self, reason: str) -> None:
         """Closes the caller's connection in the middle of the answer."""
         if self.stage is not Stage.DONE:
             _log.info(
                 "answer aborted",
-                extra={"request_id": self.request_id, "age_ms": self.age_ms()},
+                extra={
+                    "request_id": self.request_id,
+                    "reason": reason,
+                    "age_ms": self.age_ms(),
+                },
             )
             self._end("broken", None)
             self._caller.abort()
@@ -389,6 +393,8 @@
         handle: Controls the attempt on its connection.
         is_active: Whether the attempt has not ended; events are ignored after
             its end.
+        is_kept: Whether the attempt goes on until the deadline although its
+            target is silent.
         is_sent: Whether the head was prepared for sending, so that the target
             may have got it.
         earlier_run_state: Run state of the request after its earlier attempts.
@@ -407,6 +413,7 @@
         self.permit = permit
         self.handle: AttemptHandle = None  # type: ignore[assignment]
         self.is_active = True
+        self.is_kept = False
         self.is_sent = False
         self.earlier_run_state = RunState.NOT_RUN
         self.upload_blocked = False
