Keep timers running after an exception of one, and report it once a minute

Callers saw a node that no longer followed the store, or a daemon whose timers had all stopped: an exception of one timer's callback left TimerService.advance, so the timers after it did not run, at each tick, and the daemon's LoopingCall ended for good. Nothing was counted, and Twisted wrote each traceback to standard error without a bound.

TimerService now passes the exception to a handler and goes on. ErrorLog is that handler: it counts errors.unexpected and writes one line a minute for each kind of exception, with a bounded traceback. It also observes the exceptions that reach the reactor.

Before, with a callback that raises before another one, three calls of advance raised three times and the other callback never ran; the scenario of the base parts fails there.

--- a/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
@@ -1,6 +1,11 @@
 """Shared by all coordination parts: messages, hashing, counters, timers."""
 
 from egretrock.coordination.base._buckets import TokenBucket
+from egretrock.coordination.base._errors import (
+    ErrorHandler,
+    isolated,
+    raise_error,
+)
 from egretrock.coordination.base._hashing import (
     PARTITION_COUNT,
     partition_of,
@@ -27,6 +32,7 @@
 __all__ = [
     "PARTITION_COUNT",
     "Counters",
+    "ErrorHandler",
     "Message",
     "MessageHandler",
     "NullCounters",
@@ -38,9 +44,11 @@
     "TokenBucket",
     "UnpackError",
     "ignore_message",
+    "isolated",
     "pack_value",
     "partition_of",
     "placement_weight",
+    "raise_error",
     "rendezvous_node",
     "unpack_value",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/base/_timers.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_timers.py
@@ -3,6 +3,12 @@
 from collections.abc import Callable
 from types import TracebackType
 
+from egretrock.coordination.base._errors import (
+    ErrorHandler,
+    isolated,
+    raise_error,
+)
+
 
 class PeriodicTimer:
     """A periodic call; closing it, or leaving its context, cancels it."""
@@ -50,6 +56,11 @@
 class TimerService:
     """Runs the timers that are due when ``advance`` is called.
 
+    Args:
+        now_s: Time.
+        on_error: Handles an exception of a callback; the other callbacks run
+            on, and the failed one is called again when it is due.
+
     Example:
         >>> timers = TimerService(now_s=0.0)
         >>> calls = []
@@ -60,8 +71,11 @@
         [7.0]
     """
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(
+        self, now_s: float, on_error: ErrorHandler = raise_error
+    ) -> None:
         self._now_s = now_s
+        self._on_error = on_error
         self._timers: list[PeriodicTimer] = []
 
     def subscribe(
@@ -82,7 +96,8 @@
         self._now_s = now_s
         for timer in list(self._timers):
             if timer.active and timer.due_s <= now_s:
-                timer.run(now_s)
+                with isolated("timer", self._on_error):
+                    timer.run(now_s)
         self._timers = [s for s in self._timers if s.active]
 
     def next_due_s(self) -> float | None:
--- a/packages/egretrock-core/src/egretrock/coordination/base/tests/steps/base_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/tests/steps/base_steps.py
@@ -47,3 +47,28 @@
 @then("the callback ran {count:d} time")
 def step_ran(context, count):
     assert len(context.calls) == count, context.calls
+
+
+@given("a timer whose callback raises, and one after it")
+def step_raising(context):
+    context.raised_s, context.calls, context.errors = [], [], []
+
+    def fail(now_s):
+        context.raised_s.append(now_s)
+        raise RuntimeError("odd")
+
+    context.timers = TimerService(0.0, lambda *e: context.errors.append(e))
+    context.timers.subscribe(1.0, fail)
+    context.timers.subscribe(1.0, context.calls.append)
+
+
+@when("time advances by {count:d} seconds in steps of 1 second")
+def step_advance_in_steps(context, count):
+    for now_s in range(1, count + 1):
+        context.timers.advance(float(now_s))
+
+
+@then("both callbacks ran 3 times, and 3 exceptions were reported")
+def step_isolated(context):
+    assert context.raised_s == context.calls == [1.0, 2.0, 3.0], context.calls
+    assert [str(error) for _, error in context.errors] == ["odd"] * 3
--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -51,7 +51,7 @@
     DrainOutcome,
     MessageRouter,
 )
-from egretrock_node.observability import StatsdCounters
+from egretrock_node.observability import ErrorLog, StatsdCounters
 from egretrock_node.protocol.peers import Codec
 from egretrock_node.protocol.requests import (
     CoordinationParts,
@@ -153,13 +153,14 @@
         self.clock = clock
         self.started_s = clock()
         self.counters = StatsdCounters(settings.statsd_address)
+        self.errors = ErrorLog(self.counters, clock)
         self._reactor = reactor
         self._rng = rng or random.Random(secrets.randbits(128))
         self.peer = Peer(
             NodeId(settings.node.peer_address),
             Incarnation(secrets.randbits(63)),
         )
-        self.timers = TimerService(self.started_s)
+        self.timers = TimerService(self.started_s, self.errors.report)
         self._make_parts()
         self._make_request_path(adapters)
         self._make_sockets(adapters)
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -60,7 +60,11 @@
     DrainOutcome,
     MessageRouter,
 )
-from egretrock_node.observability import StatsdCounters, metrics_text
+from egretrock_node.observability import (
+    ErrorLog,
+    StatsdCounters,
+    metrics_text,
+)
 from egretrock_node.protocol.peers import Codec
 from egretrock_node.protocol.requests import (
     CoordinationParts,
@@ -142,12 +146,13 @@
             self.started_s if process_start_s is None else process_start_s
         )
         self.counters = StatsdCounters(None)
+        self.errors = ErrorLog(self.counters, clock)
         self._reactor = reactor
         self._platform = platform
         self._rng = rng or random.Random(secrets.randbits(128))
         incarnation = Incarnation(secrets.randbits(63))
         self.peer = Peer(settings.node, incarnation)
-        self.timers = TimerService(self.started_s)
+        self.timers = TimerService(self.started_s, self.errors.report)
         self._make_parts()
         self._make_request_path()
         self._make_endpoints_and_reader()
--- a/packages/egretrock-node/src/egretrock_node/observability/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/observability/__init__.py
@@ -1,6 +1,7 @@
 """Logs and metrics of a node."""
 
 from egretrock_node.observability._budget import BoundedHandler, LogBudget
+from egretrock_node.observability._errors import ERROR_COUNTER, ErrorLog
 from egretrock_node.observability._exposition import metrics_text
 from egretrock_node.observability._logs import (
     JsonFormatter,
@@ -10,7 +11,9 @@
 from egretrock_node.observability._metrics import Histogram, StatsdCounters
 
 __all__ = [
+    "ERROR_COUNTER",
     "BoundedHandler",
+    "ErrorLog",
     "Histogram",
     "JsonFormatter",
     "LogBudget",
--- a/packages/egretrock-node/src/egretrock_node/observability/tests/observability.feature
+++ b/packages/egretrock-node/src/egretrock_node/observability/tests/observability.feature
@@ -11,3 +11,9 @@
   Scenario: A line break in a value does not split a JSON log record
     When a record with the field path "a\nb" is written as JSON
     Then it is one line with the level info and the field path "a\nb"
+
+  # Guards against errors that nobody sees, and against a log full of one error.
+  Scenario: An error that repeats is logged once a minute and always counted
+    When an error is reported 50 times, and once more after 61 seconds
+    Then 2 lines name it, the second with 49 repeats, and 51 are counted
+    And each line has at most 3000 characters
--- a/packages/egretrock-node/src/egretrock_node/observability/tests/steps/observability_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/observability/tests/steps/observability_steps.py
@@ -6,7 +6,12 @@
 import logbook
 from behave import given, then, when
 
-from egretrock_node.observability import StatsdCounters, log_handler
+from egretrock_node.observability import (
+    ERROR_COUNTER,
+    ErrorLog,
+    StatsdCounters,
+    log_handler,
+)
 from egretrock_node.settings import LogSettings
 
 
@@ -61,3 +66,33 @@
     record = json.loads(lines[0])
     assert record["level"] == level, record
     assert record["path"] == text.replace("\\n", "\n"), record
+
+
+@when("an error is reported 50 times, and once more after 61 seconds")
+def step_report(context):
+    context.counters = StatsdCounters(None)
+    times_s = iter([0.0] * 50 + [61.0])
+    errors = ErrorLog(context.counters, lambda: next(times_s))
+    stderr = io.StringIO()
+    with redirect_stderr(stderr):
+        handler = log_handler(LogSettings(json=True))
+        with handler.applicationbound():
+            for _ in range(51):
+                try:
+                    raise ValueError("odd \ud800" + "x" * 9000)
+                except ValueError as error:
+                    errors.report("test", error)
+    context.lines = stderr.getvalue().splitlines()
+
+
+@then("2 lines name it, the second with 49 repeats, and 51 are counted")
+def step_reported(context):
+    records = [json.loads(line) for line in context.lines]
+    assert [r["repeats"] for r in records] == [0, 49], records
+    assert all(r["error"] == "ValueError" for r in records), records
+    assert context.counters.totals() == {ERROR_COUNTER: 51}
+
+
+@then("each line has at most {count:d} characters")
+def step_line_length(context, count):
+    assert max(map(len, context.lines)) <= count
--- a/packages/egretrock-node/src/egretrock_node/wiring/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_node.py
@@ -7,6 +7,7 @@
 
 from egretrock.coordination.base import Outbound, Peer, TimerService
 from egretrock_node.lifecycle import DrainController, MessageRouter
+from egretrock_node.observability import ErrorLog
 from egretrock_node.protocol.requests import RequestPipeline, RequestSnapshot
 from egretrock_node.transport._service import Service
 from egretrock_node.transport.caller import CallerServer
@@ -20,6 +21,7 @@
 
     Attributes:
         log: Logger of the node.
+        errors: Log of unexpected exceptions.
         clock: Returns monotonic seconds that include suspended time.
         peer: Address and incarnation of this node.
         timers: Periodic timers of the node.
@@ -31,6 +33,7 @@
     """
 
     log: logbook.Logger
+    errors: ErrorLog
     clock: Callable[[], float]
     peer: Peer
     timers: TimerService
--- a/packages/egretrock-node/src/egretrock_node/wiring/_process.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_process.py
@@ -42,6 +42,7 @@
             else:
                 node.start_drain()
 
+        node.errors.observe_twisted()
         handlers = {signal.SIGTERM: stop, signal.SIGINT: stop}
         handlers.update(on_signals or {})
         with node:
