Ignore an odd entry, and refuse a configuration with an error as a whole

Nodes kept their old configuration for good after another writer had left one odd entry: the decoder raised RecursionError for 5,000 nested lists and ValueError for a port or a version of 5,000 digits, the generation of the entries counted as applied before, and each later change raised again. Entries without slots or a sequence, or with a line break in the address, named instances.

An instance entry that raises anything is now ignored on its own, with one log line until it can be read again and the gauge config.unreadable_entries. The view marks a generation as applied only after it was decoded.

--- a/packages/egretrock-core/src/egretrock/state/config/_check.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_check.py
@@ -18,6 +18,8 @@
 #: Size of the largest document that the platform stores.
 MAX_DOCUMENT_BYTES = 1_000_000
 _SHA256_HEX_PATTERN = re.compile(r"[0-9a-f]{64}")
+#: A port has no leading zeros: 1 to 65535 are written in one way each.
+_PORT_PATTERN = re.compile(r"[1-9][0-9]{0,4}")
 _METHOD_PATTERN = re.compile(r"[A-Z]+")
 
 
@@ -97,11 +99,14 @@
         (True, False)
     """
     host, _, port = text.rpartition(":")
+    # A zone of an IPv6 address may have any characters, also line breaks.
+    if "%" in host or not _PORT_PATTERN.fullmatch(port):
+        return False
     try:
         ipaddress.ip_address(host.strip("[]"))
     except ValueError:
         return False
-    return port.isascii() and port.isdigit() and 0 < int(port) < 65536
+    return int(port) < 65536
 
 
 def _address_message(text: str) -> str:
@@ -114,7 +119,11 @@
         return None, [Finding("", message)]
     try:
         tree = msgspec.json.decode(raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (
+        msgspec.DecodeError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         return None, [Finding("", f"not JSON: {error}")]
     if not isinstance(tree, dict):
         kind = type(tree).__name__
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -423,6 +423,9 @@
         if published is None:
             return
         self._accept(now_s)
+        self.counters.gauge(
+            "config.unreadable_entries", published.unreadable_count
+        )
         self.rates.set_organisations(published.config.organisations, now_s)
         listed = {
             target
@@ -446,6 +449,7 @@
                 "revision": self.directory.revision,
                 "age_s": round(self.directory.age_s(now_s), 3),
                 "targets": self.publication.usable_count,
+                "unreadable": published.unreadable_count,
             },
         )
 
--- a/packages/egretrock-node/src/egretrock_node/gateway/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_ports.py
@@ -40,11 +40,13 @@
         config: Routes, services with their targets, organisations and keys.
         version: Version of the operators' configuration, for the log.
         limits: Limits on callers, or None for the defaults.
+        unreadable_count: Number of entries that could not be decoded.
     """
 
     config: PublishedConfig
     version: str
     limits: CallerLimits | None = None
+    unreadable_count: int = 0
 
 
 class ReadClient(Protocol):
--- a/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
@@ -48,8 +48,10 @@
         """
         if self._generation == self._directory.generation:
             return None
-        self._generation = self._directory.generation
+        generation = self._directory.generation
         published = self._decoder.decode_entries(self._directory.entries())
+        # Only now: after an exception the next call tries again.
+        self._generation = generation
         if published is None:
             return None
         config = self._config = published.config
