Bound the figures of a published configuration

The check of a configuration for the daemon raised RecursionError for 5,000 nested lists and ValueError for a port of 5,000 digits, and accepted rates and times that overflow a float later.

--- a/packages/egretrock-core/src/egretrock/state/config/_model.py
+++ b/packages/egretrock-core/src/egretrock/state/config/_model.py
@@ -18,10 +18,13 @@
     TargetId,
 )
 
-PositiveInt = Annotated[int, msgspec.Meta(ge=1)]
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
-PositiveFloat = Annotated[float, msgspec.Meta(gt=0)]
-NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
+#: Upper bound of all figures: a float holds each integer up to it exactly, and
+#: no computation with a few of them overflows.
+_MAX_FIGURE = 2**53
+PositiveInt = Annotated[int, msgspec.Meta(ge=1, le=_MAX_FIGURE)]
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
+PositiveFloat = Annotated[float, msgspec.Meta(gt=0, le=_MAX_FIGURE)]
+NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0, le=_MAX_FIGURE)]
 Fraction = Annotated[float, msgspec.Meta(ge=0, le=1)]
 #: An organisation with this rate or more has no limit.
 UNLIMITED_RATE_PER_S = 1e9
--- a/packages/egretrock-core/src/egretrock/state/config/tests/check.feature
+++ b/packages/egretrock-core/src/egretrock/state/config/tests/check.feature
@@ -38,6 +38,34 @@
     Then there is a finding at routes.all.idempotant
     And the configuration is refused
 
+  # Guards against figures that overflow once the configuration is in force.
+  Scenario Outline: A figure out of range is refused
+    Given a valid configuration
+    And the value <path> is <value>
+    When it is checked
+    Then there is a finding at <path>
+    And the configuration is refused
+
+    Examples:
+      | path                                | value                |
+      | organisations.acme.rate_per_s       | 1e300                |
+      | organisations.acme.burst            | 1e300                |
+      | services.records.targets.r1.slots   | 10000000000000000000 |
+      | services.records.targets.r1.address | "127.0.0.1:65536"    |
+      | services.records.targets.r1.address | "127.0.0.1:0080"     |
+      | routes.all.timeout_ms               | 10000000000000000000 |
+
+  # Guards against a check that raises and so leaves the document unanswered.
+  Scenario Outline: Nested lists and long numbers are refused
+    When a configuration with <count> of "<character>" in <field> is checked
+    Then the configuration is refused
+
+    Examples:
+      | count | character | field   |
+      | 5000  | [         | routes  |
+      | 5000  | 9         | slots   |
+      | 5000  | 9         | address |
+
   Scenario: A valid configuration is accepted
     Given a valid configuration
     When it is checked
--- a/packages/egretrock-core/src/egretrock/state/config/tests/steps/check_steps.py
+++ b/packages/egretrock-core/src/egretrock/state/config/tests/steps/check_steps.py
@@ -51,6 +51,18 @@
     context.report = check_config(raw)
 
 
+@when('a configuration with {count:d} of "{character}" in {field} is checked')
+def step_check_odd(context, count, character, field):
+    odd = character * count
+    raw = json.dumps(VALID_CONFIG)
+    raw = {
+        "routes": raw.replace('"routes": {', f'"routes": {{"odd": {odd},'),
+        "slots": raw.replace('"slots": 2', f'"slots": {odd}'),
+        "address": raw.replace(":9000", f":{odd}"),
+    }[field]
+    context.report = check_config(raw.encode())
+
+
 @then("there is a finding at {path}")
 def step_finding(context, path):
     paths = [finding.path for finding in context.report.findings]
