Keep reading the store whatever it answers

A node that got one odd answer never read the store again: the reader stayed busy after any error other than two kinds, such as wrong base64 in one item or a page of nested lists.

After an unexpected error the read now counts as failed, is reported with its traceback (bounded) and is tried again.

--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -318,6 +318,7 @@
             self.read_sink,
             self.clock,
             self.counters,
+            self.errors.report,
         )
         self._readiness_server = PageServer(self._reactor, self._readiness_page)
         self._metrics_server = PageServer(self._reactor, self._metrics_page)
--- a/packages/egretrock-node/src/egretrock_node/gateway/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_ports.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from egretrock.coordination.base import ErrorHandler
 from egretrock.coordination.directory import Change, ReadRequest
 from egretrock.coordination.probing import LoadReading
 from egretrock.state.config import PublishedConfig, Target
@@ -101,6 +102,7 @@
         sink: ReadClient,
         clock: Callable[[], float],
         counters: Any,
+        on_error: ErrorHandler,
     ) -> PlatformReader:
         """Returns a reader of the entries that the platform publishes."""
         ...
