Handle the messages after one that raises, and send to the nodes after one

An exception for one message of another node lost the messages after it in its datagram; an address that no socket accepts, learned from another node, lost all messages to the nodes after it, at each flush. A datagram of nested lists raised RecursionError, which no counter showed.

The endpoint passes such an exception to an error handler and goes on; the nested lists count as a bad datagram.

--- a/packages/egretrock-node/src/egretrock_node/protocol/peers/_codec.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/peers/_codec.py
@@ -144,7 +144,7 @@
             if major != VERSION[0]:
                 raise UnknownVersionError(major)
             envelope = self._envelope_decoder.decode(data)
-        except msgspec.MsgspecError as error:
+        except (msgspec.MsgspecError, RecursionError) as error:
             raise BadDatagramError(str(error)) from error
         bodies = []
         for raw in envelope.msgs:
@@ -159,7 +159,7 @@
         try:
             decoder = self._decoders.get(self._tag_decoder.decode(raw).t)
             return None if decoder is None else decoder.decode(raw)
-        except (msgspec.MsgspecError, ValueError):
+        except (msgspec.MsgspecError, ValueError, RecursionError):
             return None
 
     def _join(self, encoded: list[bytes]) -> bytes:
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
@@ -10,7 +10,15 @@
 from twisted.internet import defer, interfaces
 from twisted.internet.protocol import DatagramProtocol
 
-from egretrock.coordination.base import Counters, Message, Outbound, Peer
+from egretrock.coordination.base import (
+    Counters,
+    ErrorHandler,
+    Message,
+    Outbound,
+    Peer,
+    isolated,
+    raise_error,
+)
 from egretrock.state.config import split_address
 from egretrock.state.ids import NodeId
 from egretrock_node.protocol.peers import (
@@ -43,6 +51,8 @@
         handler: Called with each message; returns the messages to send.
         clock: Seconds of the node's monotonic clock.
         counters: Counters of the node.
+        on_error: Handles an exception of the handler, or of sending to one
+            node; the other messages are handled and sent.
     """
 
     noisy = False
@@ -55,7 +65,9 @@
         handler: MessageHandler,
         clock: Callable[[], float],
         counters: Counters,
+        on_error: ErrorHandler = raise_error,
     ) -> None:
+        self._on_error = on_error
         self._reactor = reactor
         self._address = address
         self._codec = codec
@@ -118,7 +130,8 @@
             self._counters.increment("peers.unknown_messages", count)
         for body in received.bodies:
             now_s = self._clock()
-            self.send(self._handler(received.sender, body, now_s))
+            with isolated("message from a node", self._on_error):
+                self.send(self._handler(received.sender, body, now_s))
 
     def _flush(self) -> None:
         self._is_flush_scheduled = False
@@ -126,7 +139,8 @@
         if self._port is None:
             return
         for node, bodies in outbox.items():
-            self._send_bodies(node, bodies)
+            with isolated("message to a node", self._on_error):
+                self._send_bodies(node, bodies)
 
     def _send_bodies(self, node: NodeId, bodies: list[Message]) -> None:
         try:
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/tests/peers.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/tests/peers.feature
@@ -16,6 +16,27 @@
     When one sends a message of 2000 bytes and a small one
     Then the other has received 1 message in 1 datagram
 
+  # Guards against one odd message or address that loses all other messages.
+  Scenario: An exception for one message does not lose the others
+    Given two nodes
+    When the other raises for the first message that it receives
+    And one sends a message to "127.0.0.1:port" before those to the other
+    Then the other has received 5 messages in 1 datagrams
+    And each node has reported 1 exception
+
+  # Guards against errors of datagrams that no counter shows.
+  Scenario Outline: A datagram of nested lists is dropped
+    Given two nodes
+    When one sends a datagram with 1300 nested lists before <field>
+    And one sends 5 messages to the other in one iteration and then 1 more
+    Then the other has received 6 messages in 3 datagrams
+    And the other has counted 1 bad datagram
+
+    Examples:
+      | field |
+      | msgs  |
+      | t     |
+
   Scenario: A peer fetches a new revision of a document
     Given two nodes
     When one node reads revision 2 of the VM list
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/tests/steps/peers_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/tests/steps/peers_steps.py
@@ -48,8 +48,15 @@
         )
         codec = Codec(self.peer, TYPES)
         clock_and_counters = (boot_time_s, self.counters)
+        self.errors = []
+        self.raises = False
         self.endpoint = PeerEndpoint(
-            reactor, address, codec, self.on_message, *clock_and_counters
+            reactor,
+            address,
+            codec,
+            self.on_message,
+            *clock_and_counters,
+            lambda *error: self.errors.append(error),
         )
         self.exchange = DocumentExchange(
             reactor,
@@ -61,6 +68,9 @@
 
     def on_message(self, sender, body, now_s):
         self.received.append(body)
+        if self.raises:
+            self.raises = False
+            raise RuntimeError("odd")
         messages = self.fleet.on_message(sender, body, now_s)
         self.exchange.on_tick(now_s)
         return messages
@@ -105,6 +115,41 @@
     send(context, [Heartbeat(100)])
 
 
+@when("the other raises for the first message that it receives")
+def step_raises(context):
+    context.other.raises = True
+
+
+@when('one sends a message to "{address}" before those to the other')
+def step_send_nowhere(context, address):
+    def send_all():
+        for node in [address] + [context.other.peer.node] * 5:
+            context.one.endpoint.send([Outbound(node, Heartbeat(1))])
+
+    in_reactor(send_all)
+
+
+@then("each node has reported {count:d} exception")
+def step_errors(context, count):
+    for node in context.nodes:
+        assert len(node.errors) == count, node.errors
+
+
+@then("the other has counted {count:d} bad datagram")
+def step_bad(context, count):
+    assert context.other.count("peers.bad_datagrams") == count
+
+
+@when("one sends a datagram with {count:d} nested lists before {field}")
+def step_send_nested(context, count, field):
+    raw = next(Codec(context.one.peer, TYPES).encode([Heartbeat(1)]))
+    name = f'"{field}":'.encode()
+    raw = raw.replace(name, name + b"[" * count)
+    host, port = context.other.peer.node.split(":")
+    transport = context.one.endpoint.transport
+    in_reactor(transport.write, raw, (host, int(port)))
+
+
 @when("one sends a message of {size:d} bytes and a small one")
 def step_send_large(context, size):
     send(context, [Release(1, "a" * size), Heartbeat(1)])
