End requests at their deadlines after one that raises

Requests behind one that raised at each tick had no end: the exception left the pipeline's tick before their deadlines were checked, before the queue was cleared and before waiting requests were served. Such an exception is now passed to an error handler, and the tick goes on.

The new scenario fails on the previous code.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -154,6 +154,7 @@
         self._clock = environment.clock
         self._send_out = environment.send
         self.counters: Counters = environment.counters
+        self._on_error = environment.on_error
         self.settings = settings
         self.body_budget = BodyBudget(settings.max_held_body_bytes)
         self._credentials = credentials
@@ -202,16 +203,23 @@
     def on_tick(self, now_s: float) -> None:
         """Ends expired requests and abandons attempts without progress."""
         for exchange in list(self._in_flight):
-            if now_s >= exchange.deadline_s:
-                self._expire(exchange)
-            elif exchange.silent_s(now_s) >= self._silence_limit_s(
-                exchange
-            ) and self._is_worth_abandoning(exchange):
-                self._abandon_silent(exchange)
+            try:
+                self._check_time(exchange, now_s)
+            except Exception as error:
+                # The requests after this one still end at their deadlines.
+                self._on_error("request", error)
         self._parts.queue.expire(now_s)
         self._refuse_evicted()
         self.poll(now_s)
 
+    def _check_time(self, exchange: Exchange, now_s: float) -> None:
+        if now_s >= exchange.deadline_s:
+            self._expire(exchange)
+        elif exchange.silent_s(now_s) >= self._silence_limit_s(
+            exchange
+        ) and self._is_worth_abandoning(exchange):
+            self._abandon_silent(exchange)
+
     def poll(self, now_s: float) -> None:
         """Processes new decisions of the coordination parts."""
         for result in self._parts.idempotency.poll(now_s):
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -6,7 +6,12 @@
 import msgspec
 from expression import Result
 
-from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.base import (
+    Counters,
+    ErrorHandler,
+    Outbound,
+    raise_error,
+)
 from egretrock.coordination.bounds import LimitReport
 from egretrock.coordination.idempotency import BeginResult, RecordKey
 from egretrock.coordination.queueing import QueuedRequest
@@ -421,8 +426,10 @@
             the machine is suspended.
         send: Sends messages to other nodes.
         counters: Counters of the node.
+        on_error: Handles an exception of one request; the others go on.
     """
 
     clock: Callable[[], float]
     send: Callable[[list[Outbound]], None]
     counters: Counters
+    on_error: ErrorHandler = raise_error
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -32,6 +32,13 @@
       | the key is revoked                  | key_unknown       |
       | the deadline passes                 | deadline_exceeded |
 
+  # Guards against requests without an end behind one that raises at each tick.
+  Scenario: An exception of one request does not stop the others
+    When a request waits whose caller raises
+    And a request waits for a permit
+    And meanwhile the deadline passes
+    Then it is not sent but refused with deadline_exceeded and run state not_run
+
   # Guards against requests that are sent late in a planned stop and then cut.
   Scenario: A request that waits until late in a drain is refused, not sent
     When a request is answered after 0.5 seconds
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -201,6 +201,14 @@
     context.exchanges.clear()
 
 
+@when("a request waits whose caller raises")
+def step_raising_request(context):
+    context.pipeline._on_error = Mock()
+    context.parts.permits.is_blocked = True
+    exchange = start(context)
+    exchange.refuse = Mock(side_effect=RuntimeError("odd"))
+
+
 @when("a request waits for a permit")
 def step_wait(context):
     context.parts.permits.is_blocked = True
