Give each part a timer of its own

A part that raised at each tick kept the parts after it from their ticks: with the membership or the quarantine, a gateway no longer read the store; with the chooser or the pipeline, its drain never ended. The daemon's ticks were the same. A probe whose answer could not be read was never reported, so that the chooser waited for it, and a message to the node itself that raised lost those after it. The daemon's reader of documents logged an unbounded traceback at each retry and did not come back after an exception in front of its request.

A probe always ends with a report.

--- a/packages/egretrock-core/src/egretrock/coordination/base/_timers.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_timers.py
@@ -79,14 +79,23 @@
         self._timers: list[PeriodicTimer] = []
 
     def subscribe(
-        self, interval_s: float, callback: Callable[[float], None]
+        self,
+        interval_s: float,
+        callback: Callable[[float], None],
+        first_delay_s: float | None = None,
     ) -> PeriodicTimer:
         """Calls ``callback(now_s)`` every ``interval_s`` seconds.
 
+        Args:
+            interval_s: Interval.
+            callback: Called with the time.
+            first_delay_s: Delay of the first call; None is one interval.
+
         Raises:
             ValueError: If ``interval_s`` is not above 0.
         """
-        due_s = self._now_s + interval_s
+        delay_s = interval_s if first_delay_s is None else first_delay_s
+        due_s = self._now_s + delay_s
         timer = PeriodicTimer(interval_s, callback, due_s)
         self._timers.append(timer)
         return timer
--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -1,5 +1,6 @@
 """A node with its coordination parts, sockets and timers."""
 
+import functools
 import importlib
 import random
 import secrets
@@ -196,7 +197,7 @@
         self.idempotency_client = IdempotencyClient(
             self.fleet, counters=counters
         )
-        self.router = MessageRouter(counters)
+        self.router = MessageRouter(counters, self.errors.report)
         self.router.register(FLEET_MESSAGES, self.fleet)
         self.router.register(LIMIT_MESSAGES, self.limits)
         self.router.register(TARGET_MESSAGES, self.targets)
@@ -221,7 +222,9 @@
                 idempotency=self.idempotency_client,
             ),
             self.pool,
-            ProcessServices(self.clock, self.send, counters),
+            ProcessServices(
+                self.clock, self.send, counters, self.errors.report
+            ),
             PipelineSettings(
                 data_centre=settings.node.data_centre,
                 max_body_buffer_bytes=settings.limits.max_body_buffer_bytes,
@@ -232,7 +235,12 @@
         )
         self.pool.observer = self.pipeline
         self.prober = Prober(
-            self.targets.home, self.pool, protocol, self.clock, counters
+            self.targets.home,
+            self.pool,
+            protocol,
+            self.clock,
+            counters,
+            self.errors.report,
         )
         self.callers = CallerServer(
             self._reactor,
@@ -255,6 +263,7 @@
             self._on_peer_message,
             self.clock,
             self.counters,
+            self.errors.report,
         )
         self.documents = DocumentExchange(
             self._reactor,
@@ -289,10 +298,7 @@
         self.documents.start()
         self.callers.listen(self.settings.caller_address)
         self.platform.start()
-        subscribe = self.timers.subscribe
-        subscribe(_REQUEST_TICK_S, self._on_request_tick)
-        subscribe(_FLEET_TICK_S, self._on_fleet_tick)
-        subscribe(_SWEEP_INTERVAL_S, self._on_sweep)
+        self._subscribe_timers()
         self._timer_loop.start(_TIMER_INTERVAL_S, now=False)
         _log.info(
             "started",
@@ -352,26 +358,35 @@
 
     # Timers.
 
-    def _on_request_tick(self, now_s: float) -> None:
-        for part in (
-            self.limits,
-            self.targets,
-            self.idempotency_client,
-            self.idempotency_home,
+    def _subscribe_timers(self) -> None:
+        """Gives each part a timer of its own: one that fails stops no other."""
+        subscribe = self.timers.subscribe
+        tick = functools.partial
+        for callback in (
+            tick(self.tick_part, self.limits),
+            tick(self.tick_part, self.targets),
+            tick(self.tick_part, self.idempotency_client),
+            tick(self.tick_part, self.idempotency_home),
+            self.prober.on_tick,
+            self.pipeline.on_tick,
+            self.draining.on_tick,
+        ):
+            subscribe(_REQUEST_TICK_S, callback)
+        for callback in (
+            tick(self.tick_part, self.fleet),
+            tick(self.tick_part, self.quarantine),
+            self.documents.on_tick,
         ):
-            self.send(part.on_tick(now_s))
-        self.prober.on_tick(now_s)
-        self.pipeline.on_tick(now_s)
-        self.draining.on_tick(now_s)
-
-    def _on_fleet_tick(self, now_s: float) -> None:
-        self.send(self.fleet.on_tick(now_s))
-        self.send(self.quarantine.on_tick(now_s))
-        self.documents.on_tick(now_s)
-
-    def _on_sweep(self, now_s: float) -> None:
-        self.callers.close_expired(now_s)
-        self.pool.close_expired(now_s)
+            subscribe(_FLEET_TICK_S, callback)
+        for callback in (
+            self.callers.close_expired,
+            self.pool.close_expired,
+            self._flush_counters,
+        ):
+            subscribe(_SWEEP_INTERVAL_S, callback)
+
+    def _flush_counters(self, now_s: float) -> None:
+        del now_s
         self.counters.gauge("requests.in_flight", self.pipeline.in_flight_count)
         self.counters.gauge("node.ready", float(not self.not_ready_reasons()))
         self.counters.flush()
--- a/packages/egretrock-node/src/egretrock_node/daemon/_probing.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_probing.py
@@ -1,12 +1,12 @@
 """Sends the probes that the home of a service requests."""
 
 from collections.abc import Callable
-from typing import Any
 
 import msgspec
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
-from egretrock.coordination.base import Counters
+from egretrock.coordination.base import Counters, ErrorHandler
 from egretrock.coordination.targets import (
     Health,
     ProbeKind,
@@ -31,6 +31,7 @@
         protocol: Adapter for the targets' protocol.
         clock: Seconds of the node's monotonic clock.
         counters: Counters of the node.
+        on_error: Handles an exception that is no failure of a target.
     """
 
     def __init__(
@@ -40,7 +41,9 @@
         protocol: TargetProtocol,
         clock: Callable[[], float],
         counters: Counters,
+        on_error: ErrorHandler,
     ) -> None:
+        self._on_error = on_error
         self._home = home
         self._pool = pool
         self._protocol = protocol
@@ -59,30 +62,32 @@
         path = self._protocol.health_path
         if request.kind is ProbeKind.LOAD:
             path = self._protocol.load_path
-        fetch = self._pool.fetch(request.address, path, request.timeout_s)
-        fetch.addCallbacks(
-            self._on_answer,
-            self._on_failure,
-            callbackArgs=(request,),
-            errbackArgs=(request,),
+        fetch = maybeDeferred(
+            self._pool.fetch, request.address, path, request.timeout_s
         )
+        fetch.addCallback(self._read_answer, request)
+        fetch.addErrback(self._on_failure, request)
+        # Each probe is reported, or the home would wait for it.
+        fetch.addCallback(lambda r: self._home.on_probe(r, self._clock()))
 
-    def _on_answer(self, answer: FetchedAnswer, request: ProbeRequest) -> None:
+    def _read_answer(
+        self, answer: FetchedAnswer, request: ProbeRequest
+    ) -> ProbeResult:
         health = None
         if answer.status == 200:
             health = self._parse_health(request, answer.body)
         if health is None:
             self._counters.increment("probes.invalid")
-        self._home.on_probe(ProbeResult(request, health), self._clock())
+        return ProbeResult(request, health)
 
-    def _on_failure(self, failure: Failure, request: ProbeRequest) -> Any:
-        error = failure.check(FetchError)
-        if error is None:
-            return failure
+    def _on_failure(
+        self, failure: Failure, request: ProbeRequest
+    ) -> ProbeResult:
         self._counters.increment("probes.failed")
-        result = ProbeResult(request, None, failure.value.is_connection_refused)
-        self._home.on_probe(result, self._clock())
-        return None
+        if failure.check(FetchError) is None:
+            self._on_error("probe", failure.value)
+            return ProbeResult(request, None)
+        return ProbeResult(request, None, failure.value.is_connection_refused)
 
     def _parse_health(
         self, request: ProbeRequest, body: bytes
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """The gateway node: builds its parts, sockets and timers."""
 
+import functools
 import gc
 import random
 import secrets
@@ -19,6 +20,7 @@
     Outbound,
     Peer,
     TimerService,
+    isolated,
 )
 from egretrock.coordination.bounds import (
     BOUND_MESSAGES,
@@ -230,7 +232,7 @@
             counters,
             rng=rng,
         )
-        self.router = MessageRouter(counters)
+        self.router = MessageRouter(counters, self.errors.report)
         self.router.register(GOSSIP_MESSAGES, self.membership)
         self.router.register(DIRECTORY_MESSAGES, self.directory)
         self.router.register(BOUND_MESSAGES, self.bounds)
@@ -258,7 +260,9 @@
                 idempotency=DisabledIdempotency(),
             ),
             self.pool,
-            ProcessServices(self.clock, self.send, counters),
+            ProcessServices(
+                self.clock, self.send, counters, self.errors.report
+            ),
             PipelineSettings(
                 data_centre=settings.data_centre,
                 # The platform itself moves callers away from a data centre
@@ -285,6 +289,7 @@
             self._platform,
             self.publication.target_of,
             self._on_probe_answer,
+            self.errors.report,
         )
         self.callers = CallerServer(
             self._reactor,
@@ -303,6 +308,7 @@
             self._on_peer_message,
             self.clock,
             self.counters,
+            self.errors.report,
         )
         self.read_sink = DirectoryReadClient(
             self.directory,
@@ -338,12 +344,9 @@
         self._readiness_server.listen(settings.readiness_address)
         if settings.metrics_address is not None:
             self._metrics_server.listen(settings.metrics_address)
-        subscribe = self.timers.subscribe
-        subscribe(FINE_TICK_PERIOD_S, self._on_request_tick)
-        subscribe(_FLEET_TICK_PERIOD_S, self._on_fleet_tick)
-        subscribe(_TIMEOUT_CHECK_PERIOD_S, self._on_timeout_check)
+        self._subscribe_timers()
         self._ticker.start()
-        self._on_fleet_tick(self.clock())
+        self._advance_timers()
         # Objects created by now live as long as the process, so the garbage
         # collector need not scan them.
         gc.collect()
@@ -419,7 +422,15 @@
     # Published configuration.
 
     def _apply_changes(self, now_s: float) -> None:
-        """Applies changes of the directory's entries."""
+        """Applies changes of the directory's entries.
+
+        It is called while a message or a read is handled, which an exception
+        must not interrupt.
+        """
+        with isolated("configuration", self.errors.report):
+            self._refresh(now_s)
+
+    def _refresh(self, now_s: float) -> None:
         published = self.publication.refresh()
         if published is None:
             return
@@ -479,10 +490,39 @@
 
     # Timers.
 
-    def _on_request_tick(self, now_s: float) -> None:
-        self.chooser.on_tick(now_s)
-        self.pipeline.on_tick(now_s)
-        self.draining.on_tick(now_s)
+    def _subscribe_timers(self) -> None:
+        """Gives each part a timer of its own: one that fails stops no other."""
+        subscribe = self.timers.subscribe
+        for callback in (
+            self.chooser.on_tick,
+            self.pipeline.on_tick,
+            self.draining.on_tick,
+        ):
+            subscribe(FINE_TICK_PERIOD_S, callback)
+        for callback in (
+            *(
+                functools.partial(self.tick_part, part)
+                for part in (
+                    self.membership,
+                    self.directory,
+                    self.rates,
+                    self.bounds,
+                    self.quarantine,
+                )
+            ),
+            self._on_reader_tick,
+            self._apply_changes,
+            self._accept,
+            self._log_changes,
+        ):
+            subscribe(_FLEET_TICK_PERIOD_S, callback, first_delay_s=0.0)
+        for callback in (
+            self._limit_idle_connections,
+            self.callers.close_expired,
+            self.pool.close_expired,
+            self._flush_counters,
+        ):
+            subscribe(_TIMEOUT_CHECK_PERIOD_S, callback)
 
     def _on_probes_due(self) -> None:
         """Schedules the sending of probes after the chooser's current call."""
@@ -508,23 +548,14 @@
     def _on_probe_answer(self) -> None:
         self.pipeline.poll(self.clock())
 
-    def _on_fleet_tick(self, now_s: float) -> None:
-        for part in (
-            self.membership,
-            self.directory,
-            self.rates,
-            self.bounds,
-            self.quarantine,
-        ):
-            self.send(part.on_tick(now_s))
+    def _on_reader_tick(self, now_s: float) -> None:
+        del now_s
         self.reader.on_tick()
-        self._apply_changes(now_s)
-        self._accept(now_s)
-        self.read_sink.log_role()
-        self._log_changes()
 
-    def _log_changes(self) -> None:
+    def _log_changes(self, now_s: float) -> None:
         """Logs changes of members, of the homes of rates and of bounds."""
+        del now_s
+        self.read_sink.log_role()
         for change in self.bounds.take_changes():
             _log.info(
                 "target bound",
@@ -558,8 +589,9 @@
                 },
             )
 
-    def _limit_idle_connections(self) -> None:
+    def _limit_idle_connections(self, now_s: float) -> None:
         """Applies the node's share of the connections that targets accept."""
+        del now_s
         max_connections = self.publication.min_max_connections
         if max_connections is None:
             return
@@ -571,10 +603,8 @@
             self.pool.settings, max_idle_per_target=min(most, share)
         )
 
-    def _on_timeout_check(self, now_s: float) -> None:
-        self._limit_idle_connections()
-        self.callers.close_expired(now_s)
-        self.pool.close_expired(now_s)
+    def _flush_counters(self, now_s: float) -> None:
+        del now_s
         self.counters.gauge("requests.in_flight", self.pipeline.in_flight_count)
         self.counters.flush()
 
--- a/packages/egretrock-node/src/egretrock_node/gateway/_prober.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_prober.py
@@ -1,19 +1,21 @@
 """Sends the load probes of the target chooser and reads their answers."""
 
+import functools
 from collections.abc import Callable
-from typing import Any
 
+from twisted.internet.defer import maybeDeferred
 from twisted.python.failure import Failure
 
-from egretrock.coordination.probing import LoadProbe, TargetChooser
+from egretrock.coordination.base import ErrorHandler
+from egretrock.coordination.probing import (
+    LoadProbe,
+    LoadReading,
+    TargetChooser,
+)
 from egretrock.state.config import Target
 from egretrock.state.ids import ServiceId, TargetId
 from egretrock_node.gateway._ports import Platform
-from egretrock_node.transport.target import (
-    FetchedAnswer,
-    FetchError,
-    TargetPool,
-)
+from egretrock_node.transport.target import FetchError, TargetPool
 
 TargetLookup = Callable[[ServiceId, TargetId], tuple[Target, str] | None]
 
@@ -27,6 +29,7 @@
         platform: Decodes the answers.
         target_of: Returns a target and its health path, or None.
         on_answer: Called after each probe was answered or failed.
+        on_error: Handles an exception that is no failure of a target.
     """
 
     def __init__(
@@ -36,7 +39,9 @@
         platform: Platform,
         target_of: TargetLookup,
         on_answer: Callable[[], None],
+        on_error: ErrorHandler,
     ) -> None:
+        self._on_error = on_error
         self._chooser = chooser
         self._pool = pool
         self._platform = platform
@@ -51,27 +56,18 @@
                 self._report(probe, None)
                 continue
             target, path = target_and_path
-            pending = self._pool.fetch(
-                probe.address, path.encode(), probe.timeout_s
-            )
-            pending.addCallbacks(
-                self._on_fetched,
-                self._on_fetch_failed,
-                callbackArgs=(probe, target),
-                errbackArgs=(probe,),
+            pending = maybeDeferred(
+                self._pool.fetch, probe.address, path.encode(), probe.timeout_s
             )
+            pending.addCallback(self._platform.read_load, target)
+            pending.addErrback(self._on_failure)
+            # Each probe is reported, or the chooser would wait for it.
+            pending.addCallback(functools.partial(self._report, probe))
 
-    def _on_fetched(
-        self, answer: FetchedAnswer, probe: LoadProbe, target: Target
-    ) -> None:
-        self._report(probe, self._platform.read_load(answer, target))
-
-    def _on_fetch_failed(self, failure: Failure, probe: LoadProbe) -> Any:
+    def _on_failure(self, failure: Failure) -> None:
         if failure.check(FetchError) is None:
-            return failure
-        self._report(probe, None)
-        return None
+            self._on_error("load probe", failure.value)
 
-    def _report(self, probe: LoadProbe, reading: Any) -> None:
+    def _report(self, probe: LoadProbe, reading: LoadReading | None) -> None:
         self._chooser.on_reading(probe, reading, self._pool.now())
         self._on_answer()
--- a/packages/egretrock-node/src/egretrock_node/lifecycle/_router.py
+++ b/packages/egretrock-node/src/egretrock_node/lifecycle/_router.py
@@ -5,10 +5,13 @@
 
 from egretrock.coordination.base import (
     Counters,
+    ErrorHandler,
     Message,
     Outbound,
     Part,
     Peer,
+    isolated,
+    raise_error,
 )
 
 
@@ -17,10 +20,15 @@
 
     Args:
         counters: Counters of the node.
+        on_error: Handles an exception of a part; the message counts as
+            handled, and the messages after it are delivered.
     """
 
-    def __init__(self, counters: Counters) -> None:
+    def __init__(
+        self, counters: Counters, on_error: ErrorHandler = raise_error
+    ) -> None:
         self._counters = counters
+        self._on_error = on_error
         self._parts: dict[type[Message], Part] = {}
 
     def register(self, types: Iterable[type[Message]], part: Part) -> None:
@@ -63,4 +71,6 @@
         if part is None:
             self._counters.increment("peers.unrouted")
             return []
-        return part.on_message(sender, body, now_s)
+        with isolated(type(body).__name__, self._on_error):
+            return part.on_message(sender, body, now_s)
+        return []
--- a/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
@@ -15,6 +15,7 @@
 from egretrock.coordination.base import Counters
 from egretrock.coordination.fleet import DocumentName
 from egretrock.state.ids import Revision
+from egretrock_node.observability import ErrorLog
 from egretrock_node.transport._http_fetch import (
     HttpAnswer,
     HttpFetcher,
@@ -101,6 +102,7 @@
         self._rng = rng
         self._counters = counters
         self._settings = settings
+        self._errors = ErrorLog(counters, clock)
         self._fetcher = HttpFetcher(reactor)
         self._failure_counts = dict.fromkeys(DocumentName, 0)
         self._watch_timers: dict[DocumentName, Any] = {}
@@ -125,6 +127,10 @@
             self._watch_timers[name] = timer
 
     def _watch(self, name: DocumentName) -> None:
+        watch = defer.maybeDeferred(self._fetch, name)
+        watch.addErrback(self._on_failure, name)
+
+    def _fetch(self, name: DocumentName) -> defer.Deferred[None]:
         settings = self._settings
         seen_revision = self._sink.seen_revision(name)
         # Jitter keeps the nodes of a fleet from synchronising their watches.
@@ -137,7 +143,7 @@
         self._counters.increment("platform.reads")
         fetch = self._fetcher.get(url, wait_s + settings.timeout_s)
         fetch.addCallback(self._on_answer, name, sent_s)
-        fetch.addErrback(self._on_failure, name)
+        return fetch
 
     def _on_answer(
         self, answer: HttpAnswer, name: DocumentName, sent_s: float
@@ -155,7 +161,7 @@
         if not failure.check(HttpFetchError):
             # The sink raised an exception. The watch continues, because it
             # is the only source of changes.
-            _log.error("platform read not used: " + failure.getTraceback())
+            self._errors.report("platform read", failure.value)
         self._failure_counts[name] += 1
         if self._failure_counts[name] == 1:
             _log.warning(
--- a/packages/egretrock-node/src/egretrock_node/wiring/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_node.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from egretrock.coordination.base import Outbound, Peer, TimerService
+from egretrock.coordination.base import Outbound, Part, Peer, TimerService
 from egretrock_node.lifecycle import DrainController, MessageRouter
 from egretrock_node.observability import ErrorLog
 from egretrock_node.protocol.requests import RequestPipeline, RequestSnapshot
@@ -79,5 +79,9 @@
         self.callers.close()
         return aborted_requests
 
+    def tick_part(self, part: Part, now_s: float) -> None:
+        """Runs the actions of a part that are due and sends its messages."""
+        self.send(part.on_tick(now_s))
+
     def _advance_timers(self) -> None:
         self.timers.advance(self.clock())
