--- a/packages/egretrock-core/src/egretrock/coordination/base/_timers.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_timers.py
@@ -3,6 +3,12 @@
 from collections.abc import Callable
 from types import TracebackType
 
+from egretrock.coordination.base._errors import (
+    ErrorHandler,
+    isolated,
+    raise_error,
+)
+
 
 class PeriodicTimer:
     """A periodic call; closing it, or leaving its context, cancels it."""
@@ -50,6 +56,11 @@
 class TimerService:
     """Runs the timers that are due when ``advance`` is called.
 
+    Args:
+        now_s: Time.
+        on_error: Handles an exception of a callback; the other callbacks run
+            on, and the failed one is called again when it is due.
+
     Example:
         >>> timers = TimerService(now_s=0.0)
         >>> calls = []
@@ -60,19 +71,31 @@
         [7.0]
     """
 
-    def __init__(self, now_s: float) -> None:
+    def __init__(
+        self, now_s: float, on_error: ErrorHandler = raise_error
+    ) -> None:
         self._now_s = now_s
+        self._on_error = on_error
         self._timers: list[PeriodicTimer] = []
 
     def subscribe(
-        self, interval_s: float, callback: Callable[[float], None]
+        self,
+        interval_s: float,
+        callback: Callable[[float], None],
+        first_delay_s: float | None = None,
     ) -> PeriodicTimer:
         """Calls ``callback(now_s)`` every ``interval_s`` seconds.
 
+        Args:
+            interval_s: Interval.
+            callback: Called with the time.
+            first_delay_s: Delay of the first call; None is one interval.
+
         Raises:
             ValueError: If ``interval_s`` is not above 0.
         """
-        due_s = self._now_s + interval_s
+        delay_s = interval_s if first_delay_s is None else first_delay_s
+        due_s = self._now_s + delay_s
         timer = PeriodicTimer(interval_s, callback, due_s)
         self._timers.append(timer)
         return timer
@@ -82,7 +105,8 @@
         self._now_s = now_s
         for timer in list(self._timers):
             if timer.active and timer.due_s <= now_s:
-                timer.run(now_s)
+                with isolated("timer", self._on_error):
+                    timer.run(now_s)
         self._timers = [s for s in self._timers if s.active]
 
     def next_due_s(self) -> float | None:
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """The gateway node: builds its parts, sockets and timers."""
 
+import functools
 import gc
 import random
 import secrets
@@ -19,6 +20,7 @@
     Outbound,
     Peer,
     TimerService,
+    isolated,
 )
 from egretrock.coordination.bounds import (
     BOUND_MESSAGES,
@@ -60,7 +62,11 @@
     DrainOutcome,
     MessageRouter,
 )
-from egretrock_node.observability import StatsdCounters, metrics_text
+from egretrock_node.observability import (
+    ErrorLog,
+    StatsdCounters,
+    metrics_text,
+)
 from egretrock_node.protocol.peers import Codec
 from egretrock_node.protocol.requests import (
     CoordinationParts,
@@ -143,12 +149,13 @@
             self.started_s if process_start_s is None else process_start_s
         )
         self.counters = StatsdCounters(None)
+        self.errors = ErrorLog(self.counters, clock)
         self._reactor = reactor
         self._platform = platform
         self._rng = rng or random.Random(secrets.randbits(128))
         incarnation = Incarnation(secrets.randbits(63))
         self.peer = Peer(settings.node, incarnation)
-        self.timers = TimerService(self.started_s)
+        self.timers = TimerService(self.started_s, self.errors.report)
         self.last_tick_s = self.started_s
         self._make_parts()
         self._make_request_path()
@@ -228,7 +235,7 @@
             counters,
             rng=rng,
         )
-        self.router = MessageRouter(counters)
+        self.router = MessageRouter(counters, self.errors.report)
         self.router.register(GOSSIP_MESSAGES, self.membership)
         self.router.register(DIRECTORY_MESSAGES, self.directory)
         self.router.register(BOUND_MESSAGES, self.bounds)
@@ -256,7 +263,9 @@
                 idempotency=DisabledIdempotency(),
             ),
             self.pool,
-            ProcessServices(self.clock, self.send, counters),
+            ProcessServices(
+                self.clock, self.send, counters, self.errors.report
+            ),
             PipelineSettings(
                 data_centre=settings.data_centre,
                 # The platform itself moves callers away from a data centre
@@ -283,6 +292,7 @@
             self._platform,
             self.publication.target_of,
             self._on_probe_answer,
+            self.errors.report,
         )
         self.callers = CallerServer(
             self._reactor,
@@ -301,6 +311,7 @@
             self._on_peer_message,
             self.clock,
             self.counters,
+            self.errors.report,
         )
         self.read_sink = DirectoryReadClient(
             self.directory,
@@ -316,6 +327,7 @@
             self.read_sink,
             self.clock,
             self.counters,
+            self.errors.report,
         )
         self._readiness_server = PageServer(self._reactor, self._readiness_page)
         self._metrics_server = PageServer(self._reactor, self._metrics_page)
@@ -335,12 +347,9 @@
         self._readiness_server.listen(settings.readiness_address)
         if settings.metrics_address is not None:
             self._metrics_server.listen(settings.metrics_address)
-        subscribe = self.timers.subscribe
-        subscribe(FINE_TICK_PERIOD_S, self._on_request_tick)
-        subscribe(_FLEET_TICK_PERIOD_S, self._on_fleet_tick)
-        subscribe(_TIMEOUT_CHECK_PERIOD_S, self._on_timeout_check)
+        self._subscribe_timers()
         self._ticker.start()
-        self._on_fleet_tick(self.clock())
+        self._advance_timers()
         # Objects created by now live as long as the process, so the garbage
         # collector need not scan them.
         gc.collect()
@@ -421,11 +430,22 @@
     # Published configuration.
 
     def _apply_changes(self, now_s: float) -> None:
-        """Applies changes of the directory's entries."""
+        """Applies changes of the directory's entries.
+
+        It is called while a message or a read is handled, which an exception
+        must not interrupt.
+        """
+        with isolated("configuration", self.errors.report):
+            self._refresh(now_s)
+
+    def _refresh(self, now_s: float) -> None:
         published = self.publication.refresh()
         if published is None:
             return
         self._accept(now_s)
+        self.counters.gauge(
+            "config.unreadable_entries", published.unreadable_count
+        )
         self.rates.set_organisations(published.config.organisations, now_s)
         listed = {
             target
@@ -450,6 +470,7 @@
                 "revision": self.directory.revision,
                 "age_s": round(self.directory.age_s(now_s), 3),
                 "targets": self.publication.usable_count,
+                "unreadable": published.unreadable_count,
             },
         )
 
@@ -478,10 +499,39 @@
 
     # Timers.
 
-    def _on_request_tick(self, now_s: float) -> None:
-        self.chooser.on_tick(now_s)
-        self.pipeline.on_tick(now_s)
-        self.draining.on_tick(now_s)
+    def _subscribe_timers(self) -> None:
+        """Gives each part a timer of its own: one that fails stops no other."""
+        subscribe = self.timers.subscribe
+        for callback in (
+            self.chooser.on_tick,
+            self.pipeline.on_tick,
+            self.draining.on_tick,
+        ):
+            subscribe(FINE_TICK_PERIOD_S, callback)
+        for callback in (
+            *(
+                functools.partial(self.tick_part, part)
+                for part in (
+                    self.membership,
+                    self.directory,
+                    self.rates,
+                    self.bounds,
+                    self.quarantine,
+                )
+            ),
+            self._on_reader_tick,
+            self._apply_changes,
+            self._accept,
+            self._log_changes,
+        ):
+            subscribe(_FLEET_TICK_PERIOD_S, callback, first_delay_s=0.0)
+        for callback in (
+            self._limit_idle_connections,
+            self.callers.close_expired,
+            self.pool.close_expired,
+            self._flush_counters,
+        ):
+            subscribe(_TIMEOUT_CHECK_PERIOD_S, callback)
 
     def _on_probes_due(self) -> None:
         """Schedules the sending of probes after the chooser's current call."""
@@ -507,23 +557,14 @@
     def _on_probe_answer(self) -> None:
         self.pipeline.poll(self.clock())
 
-    def _on_fleet_tick(self, now_s: float) -> None:
-        for part in (
-            self.membership,
-            self.directory,
-            self.rates,
-            self.bounds,
-            self.quarantine,
-        ):
-            self.send(part.on_tick(now_s))
+    def _on_reader_tick(self, now_s: float) -> None:
+        del now_s
         self.reader.on_tick()
-        self._apply_changes(now_s)
-        self._accept(now_s)
-        self.read_sink.log_role()
-        self._log_changes()
 
-    def _log_changes(self) -> None:
+    def _log_changes(self, now_s: float) -> None:
         """Logs changes of members, of the homes of rates and of bounds."""
+        del now_s
+        self.read_sink.log_role()
         for change in self.bounds.take_changes():
             _log.info(
                 "target bound",
@@ -557,8 +598,9 @@
                 },
             )
 
-    def _limit_idle_connections(self) -> None:
+    def _limit_idle_connections(self, now_s: float) -> None:
         """Applies the node's share of the connections that targets accept."""
+        del now_s
         max_connections = self.publication.min_max_connections
         if max_connections is None:
             return
@@ -570,10 +612,8 @@
             self.pool.settings, max_idle_per_target=min(most, share)
         )
 
-    def _on_timeout_check(self, now_s: float) -> None:
-        self._limit_idle_connections()
-        self.callers.close_expired(now_s)
-        self.pool.close_expired(now_s)
+    def _flush_counters(self, now_s: float) -> None:
+        del now_s
         self.counters.gauge("requests.in_flight", self.pipeline.in_flight_count)
         self.counters.flush()
 
--- a/packages/egretrock-node/src/egretrock_node/gateway/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_ports.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from egretrock.coordination.base import ErrorHandler
 from egretrock.coordination.directory import Change, Position, ReadRequest
 from egretrock.coordination.probing import LoadReading
 from egretrock.state.config import PublishedConfig, Target
@@ -39,11 +40,13 @@
         config: Routes, services with their targets, organisations and keys.
         version: Version of the operators' configuration, for the log.
         limits: Limits on callers, or None for the defaults.
+        unreadable_count: Number of entries that could not be decoded.
     """
 
     config: PublishedConfig
     version: str
     limits: CallerLimits | None = None
+    unreadable_count: int = 0
 
 
 class ReadClient(Protocol):
@@ -98,6 +101,7 @@
         sink: ReadClient,
         clock: Callable[[], float],
         counters: Any,
+        on_error: ErrorHandler,
     ) -> PlatformReader:
         """Returns a reader of the entries that the platform publishes."""
         ...
--- a/packages/egretrock-node/src/egretrock_node/wiring/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_node.py
@@ -5,8 +5,9 @@
 
 import logbook
 
-from egretrock.coordination.base import Outbound, Peer, TimerService
+from egretrock.coordination.base import Outbound, Part, Peer, TimerService
 from egretrock_node.lifecycle import DrainController, MessageRouter
+from egretrock_node.observability import ErrorLog
 from egretrock_node.protocol.requests import RequestPipeline, RequestSnapshot
 from egretrock_node.transport._service import Service
 from egretrock_node.transport.caller import CallerServer
@@ -21,6 +22,7 @@
     Attributes:
         log: Logger of the node.
         drain_message: Message of the record of a drain's start.
+        errors: Log of unexpected exceptions.
         clock: Returns monotonic seconds that include suspended time.
         peer: Address and incarnation of this node.
         timers: Periodic timers of the node.
@@ -34,6 +36,7 @@
 
     log: logbook.Logger
     drain_message: str
+    errors: ErrorLog
     clock: Callable[[], float]
     peer: Peer
     timers: TimerService
@@ -108,6 +111,10 @@
         self.callers.close()
         return aborted_requests
 
+    def tick_part(self, part: Part, now_s: float) -> None:
+        """Runs the actions of a part that are due and sends its messages."""
+        self.send(part.on_tick(now_s))
+
     def _advance_timers(self) -> None:
         self.last_tick_s = self.clock()
         self.timers.advance(self.last_tick_s)
--- a/packages/egretrock-node/src/egretrock_node/wiring/_process.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_process.py
@@ -47,6 +47,7 @@
             else:
                 node.start_drain()
 
+        node.errors.observe_twisted()
         # Service managers may repeat SIGTERM; they end the grace period with
         # SIGKILL. Only an operator at a terminal can cut it short.
         handlers = {
