--- a/packages/egretrock-node/src/egretrock_node/observability/_errors.py
+++ b/packages/egretrock-node/src/egretrock_node/observability/_errors.py
@@ -79,6 +79,8 @@
                 failure.getTraceback(),
             )
         elif event.get("log_level") is LogLevel.critical:
+            if event.get("isError"):
+                return  # Only a title; the event with the failure follows.
             reason = formatEvent(event)
             self._report("reactor", RuntimeError(reason), reason, "")
 
--- a/packages/egretrock-node/src/egretrock_node/observability/tests/observability.feature
+++ b/packages/egretrock-node/src/egretrock_node/observability/tests/observability.feature
@@ -17,3 +17,8 @@
     When an error is reported 50 times, and once more after 61 seconds
     Then 2 lines name it, the second with 49 repeats, and 51 are counted
     And each line has at most 3000 characters
+
+  # Guards against exceptions that no log line and no counter shows.
+  Scenario: Exceptions that reach the reactor are reported
+    When a deferred fails and nobody handles it
+    Then 1 line names the exception, and 1 is counted
--- a/packages/egretrock-node/src/egretrock_node/observability/tests/steps/observability_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/observability/tests/steps/observability_steps.py
@@ -1,3 +1,4 @@
+import gc
 import io
 import json
 import socket
@@ -5,6 +6,7 @@
 
 import logbook
 from behave import given, then, when
+from twisted.internet import defer
 
 from egretrock_node.observability import (
     ERROR_COUNTER,
@@ -68,6 +70,27 @@
     assert record["path"] == text.replace("\\n", "\n"), record
 
 
+@when("a deferred fails and nobody handles it")
+def step_unhandled(context):
+    context.counters = StatsdCounters(None)
+    ErrorLog(context.counters).observe_twisted()
+    stderr = io.StringIO()
+    with redirect_stderr(stderr):
+        handler = log_handler(LogSettings(json=True))
+        with handler.applicationbound():
+            defer.fail(RuntimeError("odd"))
+            gc.collect()
+    context.lines = stderr.getvalue().splitlines()
+
+
+@then("1 line names the exception, and 1 is counted")
+def step_unhandled_reported(context):
+    (line,) = context.lines
+    record = json.loads(line)
+    assert (record["error"], record["reason"]) == ("RuntimeError", "odd")
+    assert context.counters.totals() == {ERROR_COUNTER: 1}
+
+
 @when("an error is reported 50 times, and once more after 61 seconds")
 def step_report(context):
     context.counters = StatsdCounters(None)
