Count bytes in the kernel before a lingering connection is aborted

Cause: the connection is aborted when the linger time ends and the transport holds nothing more. An abort also discards what waits in the kernel's send buffer, here 2 to 3 MB.

Fix: unsent bytes are those that the caller's kernel has not acknowledged. The record "stopped" counts the same, and the reactor is stopped before it is written.

--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -1,6 +1,9 @@
 """Connections of callers and the requests on them."""
 
+import fcntl
 import re
+import sys
+import termios
 from typing import TYPE_CHECKING
 
 from twisted.internet.interfaces import IPushProducer
@@ -244,13 +247,19 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes that the transport has not yet passed to the kernel."""
+        """Bytes that the caller's kernel has not acknowledged.
+
+        An abort discards them, wherever they wait.
+        """
         transport = self.transport
-        if transport is None:
-            return 0
         # Twisted has no public interface for the size of the buffer.
         buffered_bytes = len(transport.dataBuffer) - transport.offset
-        return buffered_bytes + transport._tempDataLen
+        queued = fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, bytes(4))
+        return (
+            buffered_bytes
+            + transport._tempDataLen
+            + int.from_bytes(queued, sys.byteorder)
+        )
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses received bytes."""
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -129,7 +129,7 @@
 
     @property
     def unsent_bytes(self) -> int:
-        """Bytes of answers that wait in this process for slow callers."""
+        """Bytes of answers that slow callers have not taken."""
         return sum(channel.unsent_bytes for channel in self._channels)
 
     def adopt(self, listening: socket.socket) -> IListeningPort:
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/caller.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/caller.feature
@@ -36,6 +36,11 @@
   Scenario: A download to a caller that does not read is throttled
     Then a download of 64 MB stalls below 16 MB, and then arrives
 
+  # The connection was aborted when its linger time ended, with a part of the
+  # answer unsent.
+  Scenario: An answer that precedes the end of its request is sent completely
+    Then a caller that pauses for longer than the linger time gets all of it
+
   Scenario: A drain completes a request in flight
     Then the request is answered with a close, and the port is closed
 
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/caller_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/caller_steps.py
@@ -213,6 +213,7 @@
 
 TRANSFER_BYTES = 64_000_000
 PIECE = b"a" * 100_000
+EARLY_ANSWER_BYTES = 6_000_000
 
 
 def send_pieces(send, sent_pieces):
@@ -272,6 +273,25 @@
     assert len(caller.read_answer()[2]) == TRANSFER_BYTES
 
 
+@then("a caller that pauses for longer than the linger time gets all of it")
+def step_early_answer(context):
+    node, target = start_harness(context, linger_s=0.05)
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % EARLY_ANSWER_BYTES
+    answer = head + b"a" * EARLY_ANSWER_BYTES
+    target.script = [lambda connection: connection.sendall(answer)]
+    caller = node.caller()
+    caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65_536)
+    caller.send(POST + b"Content-Length: 1000000\r\n\r\n" + PIECE * 2)
+    wait_until(lambda: target.heads)
+    data = b""
+    while node.pipeline.in_flight_count:
+        data += caller.socket.recv(16_384)
+    time.sleep(0.5)
+    data += caller.read_rest()
+    body = data.partition(b"\r\n\r\n")[2]
+    assert len(body) == EARLY_ANSWER_BYTES, len(body)
+
+
 @then("the request is answered with a close, and the port is closed")
 def step_drain(context):
     node, target = start_harness(context)
--- a/packages/egretrock-node/src/egretrock_node/wiring/_process.py
+++ b/packages/egretrock-node/src/egretrock_node/wiring/_process.py
@@ -69,6 +69,7 @@
     def on_stopped(self, outcome: DrainOutcome) -> None:
         """Stops the reactor after a drain."""
         self._exit_code = outcome.exit_code
+        self._reactor.stop()
         requests = outcome.aborted_requests
         answers_cut = sum(r.stage is Stage.ANSWERING for r in requests)
         extra = {
@@ -81,7 +82,6 @@
             extra["open_connections"] = callers.connection_count
             extra["unsent_bytes"] = callers.unsent_bytes
         self._log.info("stopped", extra=extra)
-        self._reactor.stop()
 
     def _run_in_reactor(
         self, handler: Callable[[], None], signal_number: int, frame: Any
