End what is held after a restore with the entry, and hold it again

Targets were used after they had left: an instance that was removed after a restore for up to 2.5 s more, and one that had left before it again 1 s after a second restore.

Cause: a removal did not end the hold of an older value, a second restore did not renew it, and an instance that leaves did not count as newer without a start time.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -529,6 +529,11 @@
         ]
         return changes
 
+    def _value_in_use(self, key: str) -> bytes | None:
+        """Returns the value of a key, or None if it is absent."""
+        entry = self._entries.get(key)
+        return self._held.value_of(key, None if entry is None else entry.value)
+
     def _restore(
         self, changes: Sequence[Change], position: Position, now_s: float
     ) -> None:
@@ -545,16 +550,19 @@
             if value is None:
                 self._remove(key, now_s)
                 continue
-            known = self._entries.get(key)
-            known_value = None if known is None else known.value
-            is_older = known is not None or self._held.was_removed(key, now_s)
+            known_value = self._value_in_use(key)
+            is_known = known_value is not None or self._held.was_removed(
+                key, now_s
+            )
             self._entries[key] = _Entry(change.revision, value)
-            if value == known_value or key in self._held:
+            self._held.end(key)
+            if value == known_value:
                 continue
             self.generation += 1
-            if is_older and not self._is_newer(key, value, known_value):
+            if is_known and not self._is_newer(key, value, known_value):
                 self._counters.increment("directory.held")
                 self._held.hold(key, known_value, until_s)
+        self._held.extend(self._entries, until_s)
         self._change_log.clear()
         self._change_log_since = position.revision
         self._position = position
@@ -576,6 +584,8 @@
         self.generation += 1
         self._held.remember_removal(key, now_s)
         if key in self._held:
+            # What was known before a restore does not outlive the entry.
+            self._held.end(key)
             return
         until_s = self._outage_end_s + self._settings.hold_s
         if self.age_s(now_s) > self._settings.outage_s:
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_held.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_held.py
@@ -1,6 +1,7 @@
 """Values that stay in force although the platform lists others."""
 
 import collections
+from collections.abc import Container
 
 import msgspec
 
@@ -39,11 +40,26 @@
         """Holds a value, or the absence of a key, until a time."""
         self._holds[key] = _Hold(value, until_s)
 
+    def value_of(self, key: str, listed: bytes | None) -> bytes | None:
+        """Returns the value that is held for a key, or else the listed one."""
+        hold = self._holds.get(key)
+        return listed if hold is None else hold.value
+
     def release(self, key: str) -> None:
-        """Ends the hold of a key, because it was written again."""
+        """Ends the hold of a key and forgets that it was removed."""
         self._holds.pop(key, None)
         self._removed_s.pop(key, None)
 
+    def end(self, key: str) -> None:
+        """Ends the hold of a key."""
+        self._holds.pop(key, None)
+
+    def extend(self, keys: Container[str], until_s: float) -> None:
+        """Extends the holds of some keys."""
+        for key, hold in self._holds.items():
+            if key in keys:
+                self._holds[key] = _Hold(hold.value, until_s)
+
     def expire(self, now_s: float) -> int:
         """Ends the holds that are due; returns how many did."""
         due = [key for key, h in self._holds.items() if now_s >= h.until_s]
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
@@ -42,7 +42,7 @@
 
 
 class Update(Message, frozen=True, omit_defaults=True, tag="directory.news"):
-    """Changes between two revisions, or a snapshot of the directory.
+    """Changes between two positions, or a snapshot of the directory.
 
     Attributes:
         since: Position before the changes; ``NO_POSITION`` with
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_settings.py
@@ -45,6 +45,12 @@
         hold_s: Seconds after the end of an outage for which entries that
             were removed in it are still served; live targets register again
             within that time.
+        restore_hold_s: Seconds for which older values of a restored platform
+            do not replace known ones. By then the entry of a target that has
+            gone lapses.
+        removal_memory_s: Seconds for which removals are remembered, so that
+            a restore does not bring a removed target back. Copies that are
+            older than this do.
         log_size: Changes kept for nodes that have missed some.
     """
 
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
@@ -104,6 +104,38 @@
     When 6 seconds pass
     Then every node has the entries of the platform
 
+  # Guards against a target that is used although it leaves after the restore.
+  Scenario: A removal after a restore ends what was held
+    Given 19 nodes that have read the platform
+    When the platform is copied, and an entry is changed and another removed
+    And it is restored from the copy after 2 seconds
+    And 1.5 seconds pass
+    And the changed entry is removed
+    And 0.5 seconds pass
+    Then no node has the changed entry
+
+  # Guards against values that are held once only, from the first restore.
+  Scenario: What had changed before two restores holds after the second one
+    Given 19 nodes that have read the platform
+    When the platform is copied, and an entry is changed and another removed
+    And it is restored from the copy after 2 seconds
+    And 4 seconds pass
+    And it is restored from the copy after 0.1 seconds
+    And 3 seconds pass
+    Then every node has the changed entry, and none has the removed one
+
+  # Guards against reads of everything that repeat without end while peers tell
+  # of changes.
+  Scenario Outline: A read of everything that is overtaken is not repeated at once
+    Given 19 nodes that have read the platform
+    When a node reads everything, and gets <era> position that is older
+    Then its next read is <read>, and not at once
+
+    Examples:
+      | era                | read       |
+      | a                  | of changes |
+      | an earlier era's   | of all     |
+
   # Guards against nodes that start a read of everything each for themselves.
   Scenario: Few nodes read a restored platform
     Given a large fleet of 111 nodes that have read the platform
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
@@ -6,6 +6,7 @@
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
     Position,
+    ReadKind,
     Update,
 )
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, MemberState
@@ -185,6 +186,50 @@
     context.fleet.run_for(1.0)
 
 
+@when("the changed entry is removed")
+def step_remove_changed(context):
+    context.fleet.store.remove(CHANGED_KEY)
+
+
+@then("no node has the changed entry")
+def step_lacks_changed_entry(context):
+    for name, process in context.fleet.nodes.items():
+        assert CHANGED_KEY not in process.directory.entries(), name
+
+
+@when("a node reads everything, and gets a position that is older")
+def step_read_older(context):
+    read_everything(context, 0, -1)
+
+
+@when(
+    "a node reads everything, and gets an earlier era's position that is older"
+)
+def step_read_earlier_era(context):
+    read_everything(context, -1, 1)
+
+
+def read_everything(context, era_step, revision_step):
+    fleet = context.fleet
+    directory = context.directory = next(iter(fleet.nodes.values())).directory
+    now_s = fleet.network.now_s
+    directory.next_read(now_s)
+    directory.on_history_lost(now_s)
+    assert directory.next_read(now_s).kind is ReadKind.SNAPSHOT
+    known = directory.position
+    older = Position(known.era + era_step, known.revision + revision_step)
+    directory.on_snapshot(fleet.store.snapshot(), older, now_s, now_s)
+
+
+@then("its next read is {kind}, and not at once")
+def step_next_read(context, kind):
+    now_s = context.fleet.network.now_s
+    assert context.directory.next_read(now_s) is None
+    read = context.directory.next_read(now_s + 1.0)
+    is_snapshot = read is not None and read.kind is ReadKind.SNAPSHOT
+    assert is_snapshot == (kind == "of all"), read
+
+
 @when("the changed entry is written again with another value")
 def step_change_again(context):
     write_entry(context, CHANGED_KEY, b"left")
