Do not repeat a read of everything that peers' updates overtook

Such a read is older than the entries, which peers' updates have led on from, so that nothing is missing; in another era it is repeated after a pause.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -260,7 +260,7 @@
         """
         self._on_read_ok(now_s)
         if position < self._position:
-            self._counters.increment("directory.stale_reads")
+            self._on_overtaken_snapshot(position, sent_s, now_s)
             return []
         self._needs_snapshot = False
         previous = self._position
@@ -270,6 +270,20 @@
             return []
         return self._broadcast(previous, changes, now_s)
 
+    def _on_overtaken_snapshot(
+        self, position: Position, sent_s: float, now_s: float
+    ) -> None:
+        """Handles a snapshot that is older than the entries.
+
+        Updates of peers that came while it was read led on from the entries,
+        so that they are complete without it, unless the era differs.
+        """
+        self._counters.increment("directory.stale_reads")
+        self._next_read_s = now_s + self._settings.retry_s
+        if position.era == self._position.era:
+            self._needs_snapshot = False
+            self._confirm(sent_s, now_s)
+
     def _is_announcing(self) -> bool:
         """Returns whether this node tells the fleet what it reads."""
         return self.is_reader() or self._node in self._successors
@@ -445,12 +459,16 @@
         """Returns whether the changes of an update lead on from the entries.
 
         Changes that lead to restored entries do so from one position only: a
-        node that was further has changes that the platform has lost.
+        node that was further has changes that the platform has lost. So has one
+        with entries from later pages of a snapshot than its position.
         """
         if not self._has_entries():
             return False
         if body.since.era != body.until.era:
-            return body.since == self._position
+            return body.since == self._position and all(
+                entry.revision <= body.since.revision
+                for entry in self._entries.values()
+            )
         return (
             body.until.era == self._position.era
             and body.since <= self._position
