--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -666,6 +666,8 @@
         limit_s: Longest run.
     """
     record = Record(folder)
+    # The gateways are ended although the script itself is stopped.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
     deployment = Deployment(record)
 
     async def bounded():
