Free what was read of a failed answer when its connection ends

What callers saw: a node that called an instance whose answers had no end grew by 87 MB (blanks or tabs in fields), 108 MB (short fields), 104 MB (chunk extensions) and 191 MB (trailers) within 3 s of three callers. With 300 MB for a process it would have been ended, and all its requests with it.

Cause: each answer was limited, but a connection and its transport refer to each other, so the bytes and up to 16,000 parsed fields of a failed answer stayed until the garbage collector found the cycle, at hundreds of failures a second.

Change: ending a connection drops its fields, buffer and decoder. A head has at most 1,000 fields.

--- a/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
@@ -37,6 +37,8 @@
     from egretrock_node.transport.target._pool import TargetAttempt, TargetPool
 
 _MAX_HEAD_BYTES = 65_536
+#: Each field is read several times on its way to the caller.
+_MAX_HEAD_FIELDS = 1_000
 #: Time before the end of a connection, as its target states it, in which a
 #: request could cross the close on its way.
 _CLOSE_MARGIN_S = 0.25
@@ -195,6 +197,9 @@
         self._attempt = None
         self.is_unusable = True
         self.stop_parsing()
+        # The connection is part of a reference cycle with its transport; what
+        # it has read must not wait for the garbage collector.
+        self._reset()
         self._unregister_upload()
         self.transport.abortConnection()
 
@@ -284,6 +289,8 @@
             or _CONTROL_CHARACTER.search(line)
         ):
             raise AnswerError("header field")
+        if len(self._fields) >= _MAX_HEAD_FIELDS:
+            raise AnswerError(f"head with over {_MAX_HEAD_FIELDS} fields")
         self._fields.append((name.lower(), value.strip(b" \t")))
 
     def allHeadersReceived(self) -> None:  # noqa: N802
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/reading.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/reading.feature
@@ -54,3 +54,17 @@
   Scenario: An answer that was received completely before a loss is complete
     When a chunked answer and the end of its connection arrive before it is parsed
     Then the listener gets the complete answer
+
+  Scenario Outline: A failed answer does not stay in memory with its connection
+    # Guards against a node that runs out of memory by bytes without end,
+    # since connections wait for the garbage collector.
+    When 100 connections each fail on 60000 bytes of <bytes>
+    Then they keep less than 1000000 bytes in all
+
+    Examples:
+      | bytes             |
+      | long fields       |
+      | short fields      |
+      | one long trailer  |
+      | chunk extensions  |
+      | no line end       |
