Bound what callers of the node's pages may send

What callers saw: nothing in operation; shown by tests. The servers of the readiness, metrics, status and document pages stored a request's body of any size, in memory or in a temporary file, which counts as memory on machines without a disk. One read with 500 requests rendered 500 pages in one turn, also while their caller did not read. A head that came byte by byte had no time-out.

Cause: twisted.web reads the whole body before it answers, handles all requests of a read at once and restarts its time-out at each byte.

Change: PageChannel, on BoundedChannel, refuses bodies that are chunked or above 4,096 bytes with 413, parses one request a turn and none while the caller does not read, and does not restart the time-out.

--- a/packages/egretrock-node/src/egretrock_node/gateway/_pages.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_pages.py
@@ -7,6 +7,7 @@
 from twisted.web import http
 
 from egretrock.state.config import split_address
+from egretrock_node.transport._pages import PageFactory
 
 PageRenderer = Callable[[], tuple[int, bytes]]
 
@@ -24,7 +25,7 @@
         self.finish()
 
 
-class PageServer(http.HTTPFactory):
+class PageServer(PageFactory):
     """Serves one page on its own address.
 
     Args:
@@ -32,10 +33,10 @@
         render: Returns the status and the body of the page.
     """
 
-    noisy = False
+    requestFactory = _PageRequest  # noqa: N815 - a name of twisted.web
 
     def __init__(self, reactor: Any, render: PageRenderer) -> None:
-        super().__init__(timeout=30, reactor=reactor)
+        super().__init__(reactor)
         self._reactor = reactor
         self.render = render
         self._port: IListeningPort | None = None
@@ -45,15 +46,6 @@
         host, port = split_address(address)
         self._port = self._reactor.listenTCP(port, self, interface=host)
 
-    def buildProtocol(self, addr: Any) -> http.HTTPChannel:  # noqa: N802
-        """Returns the protocol of a connection."""
-        channel = super().buildProtocol(addr)
-        channel.requestFactory = _PageRequest
-        return channel
-
-    def log(self, request: http.Request) -> None:
-        """Overrides the access log to write none."""
-
     def close(self) -> None:
         """Stops listening."""
         if self._port is not None:
--- a/packages/egretrock-node/src/egretrock_node/transport/_receiving.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/_receiving.py
@@ -66,7 +66,7 @@
         self._has_backlog = has_backlog
         if has_backlog:
             self._transport.pauseProducing()
-        elif not self._is_paused:
+        elif not self._is_paused and not self._transport.disconnecting:
             self._transport.resumeProducing()
 
 
--- a/packages/egretrock-node/src/egretrock_node/transport/documents/_documents.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/documents/_documents.py
@@ -17,6 +17,7 @@
     HttpFetcher,
     HttpFetchError,
 )
+from egretrock_node.transport._page_site import PageSite
 from egretrock_node.transport._service import Service
 
 _log = logbook.Logger("egretrock.documents")
@@ -85,9 +86,7 @@
             documents.putChild(name.value.encode(), page)
         root = resource.Resource()
         root.putChild(b"documents", documents)
-        site = server.Site(root)
-        site.noisy = False
-        site.log = lambda request: None
+        site = PageSite(root, self._reactor)
         host, port = split_address(self._address)
         self._port = self._reactor.listenTCP(port, site, interface=host)
 
--- a/packages/egretrock-node/src/egretrock_node/transport/operator/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/operator/_endpoint.py
@@ -8,6 +8,7 @@
 
 from egretrock.state.config import split_address
 from egretrock_node.protocol.status import StatusSource
+from egretrock_node.transport._page_site import PageSite
 from egretrock_node.transport._service import Service
 
 _JSON = b"application/json"
@@ -92,10 +93,7 @@
     ) -> None:
         self._reactor = reactor
         self._address = address
-        self._site = server.Site(_make_root(source))
-        # An access log would contain little but periodic polls.
-        self._site.noisy = False
-        self._site.log = lambda request: None
+        self._site = PageSite(_make_root(source), reactor)
         self._port: interfaces.IListeningPort | None = None
 
     def start(self) -> None:
