Bound what the daemon reads of the platform and of peers

What callers saw: nothing in operation; shown by a test with a server on a socket. A read of the platform or of a peer took 4.5 MB of short fields, 6.2 MB of folded lines or 2.8 MB of interim answers in the 3 s of its time-out and kept the fields. A malformed body raised AttributeError instead of failing the read.

Cause: the client of twisted.web limits a line of a head but not the head, and the node limited the body alone.

Change: HttpFetcher uses the connections of TargetPool, whose answers are limited as those of targets are. A revision of more than 18 digits fails the read, where int() raised ValueError above 4,300.

--- a/packages/egretrock-node/src/egretrock_node/transport/documents/_documents.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/documents/_documents.py
@@ -16,6 +16,7 @@
     HttpAnswer,
     HttpFetcher,
     HttpFetchError,
+    parse_revision,
 )
 from egretrock_node.transport._page_site import PageSite
 from egretrock_node.transport._service import Service
@@ -74,7 +75,7 @@
         self._send = send
         self._clock = clock
         self._counters = counters
-        self._fetcher = HttpFetcher(reactor)
+        self._fetcher = HttpFetcher(reactor, clock)
         self._is_fetching = False
         self._port: interfaces.IListeningPort | None = None
 
@@ -109,8 +110,9 @@
         node, name = wanted
         self._is_fetching = True
         self._counters.increment("documents.fetches")
-        url = f"http://{node}/documents/{name.value}"
-        fetch = self._fetcher.get(url, _FETCH_TIMEOUT_S)
+        fetch = self._fetcher.get(
+            node, f"/documents/{name.value}", _FETCH_TIMEOUT_S
+        )
         fetch.addCallback(self._on_answer, name, node)
         fetch.addErrback(self._on_failure, node)
         fetch.addBoth(self._on_end)
@@ -119,18 +121,20 @@
         self, answer: HttpAnswer, name: DocumentName, node: NodeId
     ) -> None:
         text = answer.headers.get(_REVISION_HEADER.decode(), "")
-        if answer.status != 200 or not (text.isascii() and text.isdigit()):
-            raise HttpFetchError(f"status {answer.status}, revision {text!r}")
+        revision = parse_revision(text)
+        if answer.status != 200 or revision is None:
+            reason = f"status {answer.status}, revision {text[:40]!r}"
+            raise HttpFetchError(reason)
         # The fleet would refuse a damaged copy but record its revision as
         # seen, and the intact revision would then not be read again.
         digest = hashlib.sha256(answer.body).hexdigest()
         if answer.headers.get(_DIGEST_HEADER.decode()) != digest:
-            raise HttpFetchError(f"the digest of revision {text} is wrong")
+            raise HttpFetchError(f"the digest of revision {revision} is wrong")
         now_s = self._clock()
         self._send(
             self._fleet.on_document(
                 name,
-                Revision(int(text)),
+                Revision(revision),
                 answer.body,
                 now_s,
                 now_s,
--- a/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/platform/_reader.py
@@ -20,6 +20,7 @@
     HttpAnswer,
     HttpFetcher,
     HttpFetchError,
+    parse_revision,
 )
 from egretrock_node.transport._service import Service
 
@@ -103,7 +104,7 @@
         self._counters = counters
         self._settings = settings
         self._errors = ErrorLog(counters, clock)
-        self._fetcher = HttpFetcher(reactor)
+        self._fetcher = HttpFetcher(reactor, clock)
         self._failure_counts = dict.fromkeys(DocumentName, 0)
         self._watch_timers: dict[DocumentName, Any] = {}
         self._is_closed = False
@@ -135,13 +136,15 @@
         seen_revision = self._sink.seen_revision(name)
         # Jitter keeps the nodes of a fleet from synchronising their watches.
         wait_s = settings.watch_s * self._rng.uniform(0.8, 1.0)
-        url = (
-            f"http://{self._address}/v1/documents/{name.value}"
+        path = (
+            f"/v1/documents/{name.value}"
             f"?after={seen_revision}&wait_ms={round(wait_s * 1000)}"
         )
         sent_s = self._clock()
         self._counters.increment("platform.reads")
-        fetch = self._fetcher.get(url, wait_s + settings.timeout_s)
+        fetch = self._fetcher.get(
+            self._address, path, wait_s + settings.timeout_s
+        )
         fetch.addCallback(self._on_answer, name, sent_s)
         return fetch
 
@@ -182,9 +185,10 @@
     """Returns the revision, and the value or None if it is unchanged."""
     if answer.status == 304:
         text = answer.headers.get("revision", "")
-        if text.isascii() and text.isdigit():
-            return Revision(int(text)), None
-        raise HttpFetchError(f"status 304 with the revision {text!r}")
+        revision = parse_revision(text)
+        if revision is not None:
+            return Revision(revision), None
+        raise HttpFetchError(f"status 304 with the revision {text[:40]!r}")
     if answer.status != 200:
         raise HttpFetchError(f"status {answer.status}")
     try:
