Limit the chunk lines of a body beyond what its chunks allow for

What callers saw: nothing in operation; shown by a test. A fetch with a limit of 1.1 MB on its body read 211 MB of chunk extensions within 3 s, as each chunk of one byte had an extension of 500 bytes.

Cause: the limits counted the data of a body and one chunk line at a time.

Change: chunk lines may exceed 16 bytes and the size of their chunks by 16 KiB in all; a chunk of one byte in a line of its own needs no more than that.

Evidence: the scenario of fetch.feature failed before the change (211,186,287 bytes sent); it and those of reading.feature pass now.

--- a/packages/egretrock-node/src/egretrock_node/transport/_receiving.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/_receiving.py
@@ -10,7 +10,11 @@
 
 from twisted.internet.interfaces import IDelayedCall, IPushProducer
 from twisted.protocols.basic import LineReceiver
-from twisted.web.http import HTTPChannel, _ChunkedTransferDecoder
+from twisted.web.http import (
+    HTTPChannel,
+    _ChunkedTransferDecoder,
+    _MalformedChunkedDataError,
+)
 from zope.interface import implementer
 
 #: Lines of a head, or parts of chunks, that one turn parses at most.
@@ -19,6 +23,10 @@
 _MAX_WAITING_BYTES = 16_384
 #: Maximum size of all trailers of a body; they are not forwarded.
 _MAX_TRAILER_BYTES = 16_384
+#: Maximum bytes of chunk lines beyond what the chunks allow for. Without it, a
+#: body below its limit could need a thousand times its size in extensions.
+_MAX_EXCESS_BYTES = 16_384
+_ALLOWED_LINE_BYTES = 16
 
 
 @implementer(IPushProducer)
@@ -95,6 +103,7 @@
         # the bytes of a malformed body until the garbage collector runs.
         super().__init__(self._pieces.append, self._extra_data.append)
         self._maxTrailerHeadersSize = _MAX_TRAILER_BYTES
+        self._excess_bytes = 0
         self.has_backlog = False
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
@@ -119,6 +128,20 @@
                 return
         self.has_backlog = bool(self._buffer)
 
+    def _dataReceived_CHUNK_LENGTH(self) -> bool:  # noqa: N802
+        received_bytes = len(self._buffer)
+        must_continue = super()._dataReceived_CHUNK_LENGTH()
+        if self.state != "CHUNK_LENGTH":
+            line_bytes = received_bytes - len(self._buffer)
+            allowed_bytes = _ALLOWED_LINE_BYTES + self.length
+            self._excess_bytes += line_bytes - allowed_bytes
+            self._excess_bytes = max(0, self._excess_bytes)
+            if self._excess_bytes > _MAX_EXCESS_BYTES:
+                raise _MalformedChunkedDataError(
+                    "chunk extensions exceed the chunks"
+                )
+        return must_continue
+
     def _dataReceived_TRAILER(self) -> bool:  # noqa: N802
         must_continue = super()._dataReceived_TRAILER()
         if self.state == "TRAILER" and not must_continue:
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/reading.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/reading.feature
@@ -47,6 +47,16 @@
   Scenario: An answer is the same however its bytes are split
     Then 300 random answers give the same events in each of 4 ways to split them
 
+  Scenario Outline: Chunk lines may not be much longer than their chunks
+    # Guards against a body below its limit that needs far more bytes.
+    When 60000 bytes of <bytes> arrive at once
+    Then the answer <outcome>
+
+    Examples:
+      | bytes              | outcome   |
+      | chunk extensions   | fails     |
+      | chunks of one byte | continues |
+
   Scenario: The data of many small chunks is passed on in few pieces
     When 60000 bytes of chunks of one byte arrive at once
     Then the listener gets all of them, in order, in fewer than 200 pieces
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/reading_steps.py
@@ -256,3 +256,9 @@
 @then("they keep less than {max_bytes:d} bytes in all")
 def step_kept(context, max_bytes):
     assert context.kept_bytes < max_bytes, context.kept_bytes
+
+
+@then("the answer {outcome}")
+def step_outcome(context, outcome):
+    has_failed = context.request.listener.has_failed
+    assert has_failed == (outcome == "fails"), outcome
