Find the route of a path in time linear in its bytes

Not seen in operation; shown by tests. One request whose path is slashes kept the node for 112 ms at the default limit of a head (16,384 bytes) and for 1,532 ms at 65,536; with a host that has routes of its own, for 215 and 3,070 ms.

Cause: the search tried each slash of the path from its end and copied and hashed the path up to it each time.

Change: a table keeps the lengths of the published prefixes and tries each once.

--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
@@ -79,23 +79,61 @@
         return chosen.match_result
 
 
+class _PrefixTable:
+    """Routes by the prefix of their path.
+
+    A lookup tries each length of the published prefixes once, so its time does
+    not depend on the number of segments in a path.
+
+    Args:
+        ends_with_slash: Whether the prefixes end with the slash that follows
+            them.
+    """
+
+    def __init__(self, ends_with_slash: bool) -> None:
+        self._ends_with_slash = ends_with_slash
+        self._by_prefix: dict[bytes, list[_WeightedRoute]] = {}
+        self._lengths: list[int] = []
+
+    def add(self, prefix: bytes, route: _WeightedRoute) -> None:
+        """Adds a route."""
+        self._by_prefix.setdefault(prefix, []).append(route)
+        self._lengths = sorted(set(map(len, self._by_prefix)), reverse=True)
+
+    def find_longest(self, path: bytes) -> list[_WeightedRoute] | None:
+        """Returns the routes with the longest prefix of whole segments."""
+        for length in self._lengths:
+            if self._ends_with_slash:
+                is_boundary = path[length - 1 : length] == b"/"
+            else:
+                is_boundary = path[length : length + 1] in (b"", b"/")
+            if not is_boundary:
+                continue
+            routes = self._by_prefix.get(path[:length])
+            if routes is not None:
+                return routes
+        return None
+
+
 class Routing:
     """Lookup of routes and keys in one published configuration."""
 
     def __init__(self, config: PublishedConfig) -> None:
         self.config = config
-        self._by_prefix: dict[bytes, list[_WeightedRoute]] = {}
-        self._by_host: dict[bytes, dict[bytes, list[_WeightedRoute]]] = {}
+        self._all_hosts = _PrefixTable(ends_with_slash=False)
+        self._by_host: dict[bytes, _PrefixTable] = {}
         for route_id, route in config.routes.items():
             candidate = _WeightedRoute(route_id, route, config)
             if route.host:
                 prefix = route.path_prefix.encode()
                 host = route.host.lower().encode()
-                by_prefix = self._by_host.setdefault(host, {})
+                table = self._by_host.setdefault(
+                    host, _PrefixTable(ends_with_slash=True)
+                )
             else:
                 prefix = route.path_prefix.rstrip("/").encode()
-                by_prefix = self._by_prefix
-            by_prefix.setdefault(prefix, []).append(candidate)
+                table = self._all_hosts
+            table.add(prefix, candidate)
 
     def organisation_of(self, digest: str) -> OrganisationId | None:
         """Returns the owner of a published key, or None if there is none."""
@@ -112,16 +150,17 @@
         decoded by a target, or if it has dot segments: otherwise a caller
         could reach a route that requires a key through one that does not.
         """
-        by_prefix = self._by_host.get(_without_port(host))
-        candidates = self._find_longest_prefix(path, by_prefix)
+        host_table = self._by_host.get(_without_port(host))
+        candidates = self._find_longest_prefix(path, host_table)
         if b"%" in path or b"//" in path or b"\\" in path or b"/." in path:
             normalised = _PERCENT_ESCAPE.sub(_decode_unreserved, path)
-            candidates = self._find_longest_prefix(normalised, by_prefix)
+            candidates = self._find_longest_prefix(normalised, host_table)
             decoded = unquote_to_bytes(path).replace(b"\\", b"/")
             decoded = _REPEATED_SLASH.sub(b"/", decoded)
             if any(part in (b".", b"..") for part in decoded.split(b"/")):
                 return Error(bad_request("dot segment in the path"))
-            if self._find_longest_prefix(decoded, by_prefix) is not candidates:
+            found = self._find_longest_prefix(decoded, host_table)
+            if found is not candidates:
                 return Error(bad_request("the path is ambiguous when decoded"))
         if candidates is None:
             return Error(
@@ -145,22 +184,13 @@
         )
 
     def _find_longest_prefix(
-        self, path: bytes, by_prefix: dict[bytes, list[_WeightedRoute]] | None
+        self, path: bytes, host_table: _PrefixTable | None
     ) -> list[_WeightedRoute] | None:
-        if by_prefix is not None:
-            prefix_end = path.rfind(b"/")
-            while prefix_end >= 0:
-                candidates = by_prefix.get(path[: prefix_end + 1])
-                if candidates is not None:
-                    return candidates
-                prefix_end = path.rfind(b"/", 0, prefix_end)
-        prefix_end = len(path)
-        while prefix_end >= 0:
-            candidates = self._by_prefix.get(path[:prefix_end])
+        if host_table is not None:
+            candidates = host_table.find_longest(path)
             if candidates is not None:
                 return candidates
-            prefix_end = path.rfind(b"/", 0, prefix_end)
-        return None
+        return self._all_hosts.find_longest(path)
 
 
 def _without_port(host: bytes) -> bytes:
