--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
@@ -1,5 +1,7 @@
 """Lookup of routes and keys in the configuration in force."""
 
+import bisect
+import operator
 import re
 from urllib.parse import unquote_to_bytes
 
@@ -98,7 +100,8 @@
     def add(self, prefix: bytes, route: _WeightedRoute) -> None:
         """Adds a route."""
         self._by_prefix.setdefault(prefix, []).append(route)
-        self._lengths = sorted(set(map(len, self._by_prefix)), reverse=True)
+        if len(prefix) not in self._lengths:
+            bisect.insort(self._lengths, len(prefix), key=operator.neg)
 
     def find_longest(self, path: bytes) -> list[_WeightedRoute] | None:
         """Returns the routes with the longest prefix of whole segments."""
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/tests/reading.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/tests/reading.feature
@@ -33,5 +33,8 @@
       | a keep-alive       | commas              |
       | a keep-alive       | digits              |
 
+  Scenario: The time to prepare a configuration grows with its routes
+    Then the time to prepare routes grows in proportion to their number
+
   Scenario: The route of a path is the one with the longest prefix
     Then 2000 random paths match the prefixes that a search by segments finds
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/reading_steps.py
@@ -20,6 +20,7 @@
 
 #: Above the default limit of a head, as an operator may set it.
 MAX_BYTES = 65_536
+MANY_ROUTES = 4_000
 KEY = b"k" * 2_000 + b"z"
 HOST = b"a.example"
 
@@ -168,3 +169,18 @@
     if result.is_error():
         return None
     return result.ok.route.path_prefix.encode()
+
+
+@then("the time to prepare routes grows in proportion to their number")
+def step_many_routes(context):
+    config = make_config(["127.0.0.1:1"])
+    route = next(iter(config.routes.values()))
+
+    def prepare(count):
+        routes = {
+            str(number): replace(route, path_prefix=f"/{number}")
+            for number in range(count)
+        }
+        return functools.partial(Routing, replace(config, routes=routes))
+
+    check_growth(prepare, MANY_ROUTES)
