Refuse settings files that cannot be read in bounded time

What operators saw: nothing in operation; shown by a test. A file of 60 lines whose aliases multiply kept egretrock and egretrockctl check busy without end; deep nesting ended them with RecursionError.

Cause: an alias shares its value, but the search for repeated keys and the conversion follow it at each use.

Change: a file is read up to 1 MiB, and the values that it stands for are counted once each before it is converted.

--- a/packages/egretrock-node/src/egretrock_node/settings/_load.py
+++ b/packages/egretrock-node/src/egretrock_node/settings/_load.py
@@ -1,5 +1,7 @@
 """Reads YAML documents and reports findings with file and line."""
 
+import itertools
+import math
 import pathlib
 from collections.abc import Iterable, Iterator
 from typing import Any
@@ -11,6 +13,11 @@
 from egretrock.state.findings import Finding, type_findings
 from egretrock_node.settings._model import Settings
 
+_MAX_FILE_BYTES = 1_048_576
+#: A file may repeat a value by aliases, and so stand for far more values than
+#: it has bytes.
+_MAX_VALUES = 100_000
+
 
 class PlacedFinding(msgspec.Struct, frozen=True):
     """A finding with its file and line.
@@ -56,20 +63,31 @@
         The decoded tree, and the line of each key path.
 
     Raises:
-        DocumentError: If the file cannot be read, is not YAML, or has a
-            duplicate key.
+        DocumentError: If the file cannot be read, is too large, is not YAML,
+            or has a duplicate key.
     """
     name = str(file)
     try:
-        text = file.read_text(encoding="utf-8")
+        with file.open("rb") as opened:
+            raw = opened.read(_MAX_FILE_BYTES + 1)
+        text = raw.decode("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, "strerror", None) or str(error)
         raise DocumentError(PlacedFinding(name, 0, "", reason)) from error
+    if len(raw) > _MAX_FILE_BYTES:
+        message = f"more than {_MAX_FILE_BYTES} bytes"
+        raise DocumentError(PlacedFinding(name, 0, "", message))
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
+        if root is not None and _count_values(root, {}) > _MAX_VALUES:
+            message = f"its aliases stand for more than {_MAX_VALUES} values"
+            raise DocumentError(PlacedFinding(name, 0, "", message))
         tree = yaml.safe_load(text)
     except yaml.YAMLError as error:
         raise DocumentError(_yaml_finding(name, error)) from error
+    except RecursionError as error:
+        message = "not YAML: nested too deeply"
+        raise DocumentError(PlacedFinding(name, 0, "", message)) from error
     lines: dict[str, int] = {}
     if root is not None:
         for path, node in _walk_keys(root, ""):
@@ -136,6 +154,25 @@
                 yield Finding(path, message)
 
 
+def _count_values(node: yaml.Node, counts: dict[int, float]) -> float:
+    """Returns how many values a node stands for, with its aliases replaced.
+
+    Infinite for a node that contains itself. Each node is counted once, though
+    aliases may use it exponentially often.
+    """
+    known = counts.get(id(node))
+    if known is not None:
+        return known
+    counts[id(node)] = math.inf
+    children: Iterable[yaml.Node] = ()
+    if isinstance(node, yaml.MappingNode):
+        children = itertools.chain.from_iterable(node.value)
+    elif isinstance(node, yaml.SequenceNode):
+        children = node.value
+    counts[id(node)] = 1 + sum(_count_values(c, counts) for c in children)
+    return counts[id(node)]
+
+
 def _walk_keys(node: yaml.Node, path: str) -> Iterator[tuple[str, yaml.Node]]:
     if not isinstance(node, yaml.MappingNode):
         return
--- a/packages/egretrock-node/src/egretrock_node/settings/tests/settings.feature
+++ b/packages/egretrock-node/src/egretrock_node/settings/tests/settings.feature
@@ -71,3 +71,17 @@
       """
     When it is loaded
     Then the settings are accepted
+
+  Scenario Outline: A settings file that cannot be read in bounded time is refused
+    # Guards against a check or a start that does not end.
+    Given a settings file of <text>
+    When it is loaded
+    Then the only finding says "<message>"
+
+    Examples:
+      | text                       | message                    |
+      | aliases that multiply      | more than 100000 values    |
+      | an alias of itself         | more than 100000 values    |
+      | nested lists               | nested too deeply          |
+      | nested maps                | nested too deeply          |
+      | 2 megabytes                | more than 1048576 bytes    |
