Read on from a caller whose request is refused between two turns

A request refused while bytes of it waited for the next turn left reading paused, so the connection would have been closed with unread bytes, which resets it.

Change: dropping the bytes ends the pause. A further request that waits for a caller that does not read does not start the time-out of its head.

Evidence: the new scenario failed before and passes now.

--- a/packages/egretrock-node/src/egretrock_node/transport/_receiving.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/_receiving.py
@@ -230,6 +230,7 @@
         if self._next_turn is not None:
             self._next_turn.cancel()
             self._next_turn = None
+        self.gate.set_backlog(False)
 
     def parse_rest(self) -> None:
         """Parses all received bytes now, after the connection was lost."""
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -366,7 +366,7 @@
         self.discarding_since_s = None
         self.idle_since_s = self.server.now()
         super().requestDone(request)
-        if self.has_received_bytes:
+        if self.has_received_bytes and not self.is_blocked():
             self.head_since_s = self.idle_since_s
 
     def refuse_and_close(self, refusal: Refusal) -> None:
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/reading.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/reading.feature
@@ -51,3 +51,8 @@
   Scenario: A request that waits for another one is answered after it
     When 3 requests arrive while another one is answered slowly
     Then all 4 are answered in order
+
+  Scenario: A request that is refused while it is parsed is still read
+    # Guards against a close with unread bytes, by which the answer is lost.
+    When 60000 bytes of chunks of one byte arrive and the head is refused
+    Then the connection is read, and nothing more is parsed
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/reading_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from egretrock_node.protocol.http import AnswerHead
+from egretrock_node.protocol.http import AnswerHead, bad_request
 from egretrock_node.tests.path_fakes import CountingCounters
 from egretrock_node.tests.reading import (
     PausableTransport,
@@ -177,3 +177,21 @@
     sent = context.caller.transport.value()
     bodies = [part.rpartition(b"\r\n\r\n")[2] for part in sent.split(b"HTTP/")]
     assert bodies[1:] == [b"ow", b"/0", b"/1", b"/2"][:count], sent
+
+
+@when("{count:d} bytes of {name} arrive and the head is refused")
+def step_refuse_early(context, count, name):
+    context.caller = caller = OneCaller()
+    caller.channel.dataReceived(REQUESTS[name](count))
+    assert caller.transport.is_paused
+    caller.channel.refuse_and_close(bad_request("refused by the test"))
+
+
+@then("the connection is read, and nothing more is parsed")
+def step_read_on(context):
+    caller = context.caller
+    pieces = len(caller.exchanges[0].pieces)
+    assert not caller.transport.is_paused
+    caller.receive(b"1\r\nx\r\n" * 1000)
+    assert len(caller.exchanges[0].pieces) == pieces
+    assert not caller.channel.has_received_bytes
