--- a/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/reading_steps.py
@@ -16,7 +16,7 @@
 )
 from egretrock_node.protocol.http._headers import split_tokens
 from egretrock_node.tests.path_fakes import make_config
-from egretrock_node.tests.reading import check_growth
+from egretrock_node.tests.reading import check_growth, repeat
 
 #: Above the default limit of a head, as an operator may set it.
 MAX_BYTES = 65_536
@@ -25,11 +25,6 @@
 HOST = b"a.example"
 
 
-def repeat(unit, start=b"", end=b""):
-    """Returns a function that makes a value of about a number of bytes."""
-    return lambda size: start + unit * (size // len(unit)) + end
-
-
 VALUES = {
     "slashes": repeat(b"/", b"/"),
     "a deep path": repeat(b"/ab"),
--- a/packages/egretrock-node/src/egretrock_node/tests/reading.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/reading.py
@@ -14,6 +14,11 @@
 _MIN_COMPARED_S = 0.001
 
 
+def repeat(unit, start=b"", end=b""):
+    """Returns a function that makes a message of about a number of bytes."""
+    return lambda size: start + unit * (size // len(unit)) + end
+
+
 def check_growth(prepare, max_bytes):
     """Checks that four times the bytes take about four times as long.
 
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/reading_steps.py
@@ -9,6 +9,7 @@
     TurnClock,
     check_growth,
     receive_all,
+    repeat,
 )
 from egretrock_node.transport.caller import CallerServer, CallerServerSettings
 
@@ -19,11 +20,6 @@
 SLOW_REQUEST = b"GET /slow HTTP/1.1\r\nHost: a\r\n\r\n"
 
 
-def repeat(unit, start=b"", end=b""):
-    """Returns a function that makes a request of about a number of bytes."""
-    return lambda size: start + unit * (size // len(unit)) + end
-
-
 REQUESTS = {
     "blanks in a field": repeat(b" ", REQUEST + b"X-Fill: a", b"b\r\n\r\n"),
     "blanks between letters": repeat(
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/reading_steps.py
@@ -14,6 +14,7 @@
     TurnClock,
     check_growth,
     receive_all,
+    repeat,
 )
 from egretrock_node.transport.target import TargetPool
 from egretrock_node.transport.target._connection import TargetConnection
@@ -29,11 +30,6 @@
 OTHER_ANSWER = STATUS_LINE + b"Id: other\r\nContent-Length: 0\r\n\r\n"
 
 
-def repeat(unit, start=b"", end=b""):
-    """Returns a function that makes an answer of about a number of bytes."""
-    return lambda size: start + unit * (size // len(unit)) + end
-
-
 ANSWERS = {
     "blanks in a field": repeat(b" ", FIELD, b"b\r\n"),
     "tabs in a field": repeat(b"\t", FIELD, b"b\r\n"),
--- a/packages/egretrock-node/src/egretrock_node/transport/tests/steps/pages_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/tests/steps/pages_steps.py
@@ -9,6 +9,7 @@
     TurnClock,
     check_growth,
     receive_all,
+    repeat,
 )
 
 HEAD_BYTES = 16_384
@@ -16,11 +17,6 @@
 READ_BYTES = 65_536
 
 
-def repeat(unit, start=b"", end=b""):
-    """Returns a function that makes a request of about a number of bytes."""
-    return lambda size: start + unit * (size // len(unit)) + end
-
-
 REQUESTS = {
     "no line end": repeat(b"x", REQUEST),
     "short fields": repeat(b"a:\r\n", REQUEST),
