Start the division of a route by weights at a random point on each node

Cause: each node ran a smooth weighted round robin that began with the largest weight, so the first requests of all nodes went to the same service, and most nodes of a large fleet get few.

Change: a rotation through a cycle in which each service has as many positions as its weight. It begins at a random position, so each single choice has the probabilities of the weights, and any cycle has them exactly.

The test failed before: 11 of 15 examples with 1 to 1,000 nodes, shares up to 0.5 off; all pass now.

--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -225,7 +225,11 @@
             ),
             self.pool,
             ProcessServices(
-                self.clock, self.send, counters, self.errors.report
+                self.clock,
+                self.send,
+                counters,
+                self._rng,
+                self.errors.report,
             ),
             PipelineSettings(
                 data_centre=settings.node.data_centre,
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -264,7 +264,11 @@
             ),
             self.pool,
             ProcessServices(
-                self.clock, self.send, counters, self.errors.report
+                self.clock,
+                self.send,
+                counters,
+                self._rng,
+                self.errors.report,
             ),
             PipelineSettings(
                 data_centre=settings.data_centre,
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
@@ -2,6 +2,7 @@
 
 import bisect
 import operator
+import random
 import re
 from urllib.parse import unquote_to_bytes
 
@@ -9,8 +10,9 @@
 from expression import Error, Ok, Result
 from msgspec.structs import replace
 
+from egretrock.coordination.shares import WeightedRotation
 from egretrock.state.config import Profile, PublishedConfig, Route
-from egretrock.state.ids import OrganisationId, RouteId
+from egretrock.state.ids import OrganisationId, RouteId, ServiceId
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 from egretrock_node.protocol.http._framing import bad_request
 
@@ -29,56 +31,40 @@
     profile: Profile
 
 
-class _WeightedService(msgspec.Struct):
-    """One service of a route, with its weight.
+class _WeightedRoute:
+    """A route and the services among which it distributes its requests.
 
-    Attributes:
-        weight: Weight of the service.
-        match_result: Match that names the service. It is created once, because
-            creating a Result takes 4 µs.
-        credit: Current weight in the smooth weighted round robin.
+    Args:
+        route_id: Name of the route.
+        route: Route.
+        config: Configuration that has the route.
+        rng: Source of the first service.
     """
 
-    weight: int
-    match_result: Result[RouteMatch, Refusal]
-    credit: float = 0.0
-
-
-class _WeightedRoute:
-    """A route and the services among which it distributes its requests."""
-
     def __init__(
-        self, route_id: RouteId, route: Route, config: PublishedConfig
+        self,
+        route_id: RouteId,
+        route: Route,
+        config: PublishedConfig,
+        rng: random.Random,
     ) -> None:
         self.route = route
         weights = route.weights or {route.service: 1}
-        self._services = []
-        for service, weight in weights.items():
+        # Created once, because creating a Result takes 4 µs.
+        self._results: dict[ServiceId, Result[RouteMatch, Refusal]] = {}
+        for service in weights:
             profile = config.profiles[config.services[service].profile]
             if route.timeout_ms is not None:
                 deadline_ms = min(route.timeout_ms, profile.deadline_ms)
                 profile = replace(profile, deadline_ms=deadline_ms)
             service_route = replace(route, service=service)
             match = RouteMatch(route_id, service_route, profile)
-            self._services.append(_WeightedService(weight, Ok(match)))
-        self._total_weight = sum(weights.values())
+            self._results[service] = Ok(match)
+        self._rotation = WeightedRotation(weights, rng)
 
     def next_match(self) -> Result[RouteMatch, Refusal]:
-        """Returns the match for the next service in the round robin.
-
-        Smooth weighted round robin: each call adds to the credit of every
-        service its weight, and subtracts the sum of the weights from the
-        service with the highest credit, which is chosen. So even a short
-        series of requests is distributed in proportion to the weights.
-        """
-        services = self._services
-        if len(services) == 1:
-            return services[0].match_result
-        for service in services:
-            service.credit += service.weight
-        chosen = max(services, key=lambda service: service.credit)
-        chosen.credit -= self._total_weight
-        return chosen.match_result
+        """Returns the match for the service of the next request."""
+        return self._results[self._rotation.choose()]
 
 
 class _PrefixTable:
@@ -119,14 +105,19 @@
 
 
 class Routing:
-    """Lookup of routes and keys in one published configuration."""
+    """Lookup of routes and keys in one published configuration.
+
+    Args:
+        config: Configuration.
+        rng: Source of the first service of each route with weights.
+    """
 
-    def __init__(self, config: PublishedConfig) -> None:
+    def __init__(self, config: PublishedConfig, rng: random.Random) -> None:
         self.config = config
         self._all_hosts = _PrefixTable(ends_with_slash=False)
         self._by_host: dict[bytes, _PrefixTable] = {}
         for route_id, route in config.routes.items():
-            candidate = _WeightedRoute(route_id, route, config)
+            candidate = _WeightedRoute(route_id, route, config, rng)
             if route.host:
                 prefix = route.path_prefix.encode()
                 host = route.host.lower().encode()
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/http_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/http_steps.py
@@ -24,7 +24,9 @@
     published = make_config(["127.0.0.1:1"])
     inner = Route("/records/open/", "records", access=Access.OPEN)
     published.routes["inner"] = inner
-    context.found = Routing(published).match(path.encode(), b"GET")
+    context.found = Routing(published, random.Random(1)).match(
+        path.encode(), b"GET"
+    )
 
 
 @then("the result is {result}")
--- a/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/tests/steps/reading_steps.py
@@ -49,12 +49,12 @@
 def make_routing(host=None):
     config = make_config(["127.0.0.1:1"])
     if host is None:
-        return Routing(config)
+        return Routing(config, random.Random(1))
     routes = {
         name: replace(route, host=host.decode())
         for name, route in config.routes.items()
     }
-    return Routing(replace(config, routes=routes))
+    return Routing(replace(config, routes=routes), random.Random(1))
 
 
 def extract(name, value):
@@ -140,7 +140,7 @@
             f"host {p}": replace(route, path_prefix=p + "/", host="h.example")
             for p in sorted(prefixes)[:3]
         }
-        routing = Routing(replace(config, routes=routes))
+        routing = Routing(replace(config, routes=routes), rng)
         encoded = {p.encode() for p in prefixes}
         of_host = {p.encode() for p in sorted(prefixes)[:3]}
         for _ in range(100):
@@ -176,6 +176,8 @@
             str(number): replace(route, path_prefix=f"/{number}")
             for number in range(count)
         }
-        return functools.partial(Routing, replace(config, routes=routes))
+        return functools.partial(
+            Routing, replace(config, routes=routes), random.Random(1)
+        )
 
     check_growth(prepare, MANY_ROUTES)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_in_force.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_in_force.py
@@ -1,5 +1,6 @@
 """The configuration by which requests are currently served."""
 
+import random
 from collections.abc import Sequence
 
 from egretrock.state.config import (
@@ -16,6 +17,7 @@
 
     Args:
         data_centre: Data centre of the node.
+        rng: Source of the first service of each route with weights.
 
     Attributes:
         routing: Routes and keys, or None before the first configuration.
@@ -23,8 +25,9 @@
             or None while the data centre is in service.
     """
 
-    def __init__(self, data_centre: DataCentreId) -> None:
+    def __init__(self, data_centre: DataCentreId, rng: random.Random) -> None:
         self._data_centre = data_centre
+        self._rng = rng
         self.routing: Routing | None = None
         self.out_since_s: float | None = None
         self._targets_at: dict[str, list[tuple[ServiceId, TargetId]]] = {}
@@ -33,7 +36,7 @@
         """Switches to a configuration; returns whether it has changed."""
         if self.routing is not None and self.routing.config is config:
             return False
-        self.routing = Routing(config)
+        self.routing = Routing(config, self._rng)
         own = config.data_centres.get(self._data_centre)
         if own is None or own.state is DataCentreState.IN:
             self.out_since_s = None
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -170,7 +170,9 @@
         self._awaiting_record: dict[AttemptId, Exchange] = {}
         # Keyed by exchange: callers may choose ids, so ids can repeat.
         self._in_flight: dict[Exchange, None] = {}
-        self._config_in_force = ConfigInForce(settings.data_centre)
+        self._config_in_force = ConfigInForce(
+            settings.data_centre, environment.rng
+        )
         self._instances: dict[TargetId, InstanceId] = {}
         self._suspicions = CrashSuspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -1,5 +1,6 @@
 """Interfaces that the pipeline needs: coordination parts and sockets."""
 
+import random
 from collections.abc import Callable
 from typing import Protocol
 
@@ -426,10 +427,12 @@
             the machine is suspended.
         send: Sends messages to other nodes.
         counters: Counters of the node.
+        rng: Source of random choices.
         on_error: Handles an exception of one request; the others go on.
     """
 
     clock: Callable[[], float]
     send: Callable[[list[Outbound]], None]
     counters: Counters
+    rng: random.Random
     on_error: ErrorHandler = raise_error
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/shares.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/shares.feature
@@ -11,15 +11,11 @@
       | nodes | changes |
       | 1     | 0       |
       | 1     | 9       |
-      | 19    | 0       |
-      | 101   | 0       |
-
-    @known_red
-    Examples:
-      | nodes | changes |
       | 1     | 99      |
+      | 19    | 0       |
       | 19    | 9       |
       | 19    | 99      |
+      | 101   | 0       |
       | 101   | 9       |
       | 101   | 99      |
       | 312   | 0       |
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/shares_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/shares_steps.py
@@ -68,7 +68,13 @@
     context.parts.queue.offer = refuse_offer
     context.rng = random.Random(39)
     context.nodes = [
-        make_pipeline(context.parts, Mock(), CountingCounters(), lambda: 100.0)
+        make_pipeline(
+            context.parts,
+            Mock(),
+            CountingCounters(),
+            lambda: 100.0,
+            context.rng,
+        )
         for _ in range(node_count)
     ]
 
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+import random
 import time
 from unittest.mock import Mock
 
@@ -188,11 +189,13 @@
     )
 
 
-def make_pipeline(parts, targets, counters, clock=time.monotonic):
+def make_pipeline(parts, targets, counters, clock=time.monotonic, rng=None):
     return RequestPipeline(
         parts,
         targets,
-        ProcessServices(clock, lambda messages: None, counters),
+        ProcessServices(
+            clock, lambda messages: None, counters, rng or random.Random(1)
+        ),
         PipelineSettings("east", max_held_body_bytes=1_000_000),
         KeyCredentials(),
         TargetProtocol(),
