Keep the division of a route by weights when other entries change

What callers saw: shares of a route with weights that depended on how often the published entries change, also on a single node.

Cause: the lookup of routes is built anew for each change of any entry, such as a target that registers, and each new one began its division anew.

Change: routes whose weights are unchanged go on with their division.

--- a/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/http/_routing.py
@@ -38,7 +38,7 @@
         route_id: Name of the route.
         route: Route.
         config: Configuration that has the route.
-        rng: Source of the first service.
+        rotation: Division of the requests among the services.
     """
 
     def __init__(
@@ -46,13 +46,13 @@
         route_id: RouteId,
         route: Route,
         config: PublishedConfig,
-        rng: random.Random,
+        rotation: WeightedRotation[ServiceId],
     ) -> None:
         self.route = route
-        weights = route.weights or {route.service: 1}
+        self.rotation = rotation
         # Created once, because creating a Result takes 4 µs.
         self._results: dict[ServiceId, Result[RouteMatch, Refusal]] = {}
-        for service in weights:
+        for service in _weights_of(route):
             profile = config.profiles[config.services[service].profile]
             if route.timeout_ms is not None:
                 deadline_ms = min(route.timeout_ms, profile.deadline_ms)
@@ -60,11 +60,10 @@
             service_route = replace(route, service=service)
             match = RouteMatch(route_id, service_route, profile)
             self._results[service] = Ok(match)
-        self._rotation = WeightedRotation(weights, rng)
 
     def next_match(self) -> Result[RouteMatch, Refusal]:
         """Returns the match for the service of the next request."""
-        return self._results[self._rotation.choose()]
+        return self._results[self.rotation.choose()]
 
 
 class _PrefixTable:
@@ -110,14 +109,28 @@
     Args:
         config: Configuration.
         rng: Source of the first service of each route with weights.
+        previous: Lookup that this one replaces. Routes whose weights are
+            unchanged go on with the division of their requests.
     """
 
-    def __init__(self, config: PublishedConfig, rng: random.Random) -> None:
+    def __init__(
+        self,
+        config: PublishedConfig,
+        rng: random.Random,
+        previous: "Routing | None" = None,
+    ) -> None:
         self.config = config
         self._all_hosts = _PrefixTable(ends_with_slash=False)
         self._by_host: dict[bytes, _PrefixTable] = {}
+        self._routes: dict[RouteId, _WeightedRoute] = {}
         for route_id, route in config.routes.items():
-            candidate = _WeightedRoute(route_id, route, config, rng)
+            rotation = None
+            if previous is not None:
+                rotation = previous._rotation_of(route_id, route)
+            if rotation is None:
+                rotation = WeightedRotation(_weights_of(route), rng)
+            candidate = _WeightedRoute(route_id, route, config, rotation)
+            self._routes[route_id] = candidate
             if route.host:
                 prefix = route.path_prefix.encode()
                 host = route.host.lower().encode()
@@ -177,6 +190,15 @@
             )
         )
 
+    def _rotation_of(
+        self, route_id: RouteId, route: Route
+    ) -> WeightedRotation[ServiceId] | None:
+        """Returns the division of a route, or None if its weights differ."""
+        known = self._routes.get(route_id)
+        if known is None or _weights_of(known.route) != _weights_of(route):
+            return None
+        return known.rotation
+
     def _find_longest_prefix(
         self, path: bytes, host_table: _PrefixTable | None
     ) -> list[_WeightedRoute] | None:
@@ -187,6 +209,10 @@
         return self._all_hosts.find_longest(path)
 
 
+def _weights_of(route: Route) -> dict[ServiceId, int]:
+    return route.weights or {route.service: 1}
+
+
 def _without_port(host: bytes) -> bytes:
     return host.partition(b":")[0].lower()
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_in_force.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_in_force.py
@@ -36,7 +36,7 @@
         """Switches to a configuration; returns whether it has changed."""
         if self.routing is not None and self.routing.config is config:
             return False
-        self.routing = Routing(config, self._rng)
+        self.routing = Routing(config, self._rng, self.routing)
         own = config.data_centres.get(self._data_centre)
         if own is None or own.state is DataCentreState.IN:
             self.out_since_s = None
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/shares.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/shares.feature
@@ -24,3 +24,23 @@
       | 1000  | 0       |
       | 1000  | 9       |
       | 1000  | 99      |
+
+  Scenario Outline: A node divides its requests exactly, also after <changes> changes
+    # Guards against a division that begins anew when other entries change.
+    Given 1 nodes and routes with the weights 1:1, 4:1, 9:1 and 1:2:5
+    When 400 requests for each route arrive at random nodes while targets change <changes> times
+    Then each share is within 0.0 of its weight
+
+    Examples:
+      | changes |
+      | 0       |
+      | 9       |
+      | 99      |
+      | 399     |
+
+  Scenario: New weights of a route apply to the next request
+    Given 1 nodes and routes with the weights 1:1, 4:1, 9:1 and 1:2:5
+    When 40 requests for each route arrive at random nodes while targets change 3 times
+    And the weights of all routes become 1:3
+    And 40 requests for each route arrive at random nodes while targets change 3 times
+    Then each share is within 0.0 of its weight
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/shares_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/shares_steps.py
@@ -79,6 +79,19 @@
     ]
 
 
+@when("the weights of all routes become {text}")
+def step_change_weights(context, text):
+    context.weights = dict.fromkeys(context.weights, weights_of(text))
+    routes = {
+        path: msgspec.structs.replace(route, weights=weights_of(text))
+        for path, route in context.published.routes.items()
+    }
+    context.published = msgspec.structs.replace(
+        context.published, routes=routes
+    )
+    publish(context, 1)
+
+
 @when(
     "{count:d} requests for each route arrive at random nodes while targets"
     " change {change_count:d} times"
