--- a/packages/egretrock-core/src/egretrock/coordination/directory/_assembly.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_assembly.py
@@ -66,7 +66,8 @@
         return any(p.is_snapshot for p in self._incomplete.values())
 
     def expire(self, now_s: float) -> None:
-        """Drops incomplete messages after the timeout."""
+        """Drops incomplete messages after the timeout and counts them."""
         for key, partial in list(self._incomplete.items()):
             if now_s - partial.started_s > _PARTIAL_TIMEOUT_S:
                 del self._incomplete[key]
+                self._counters.increment("directory.partial_expired")
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -79,6 +79,8 @@
 
     Attributes:
         generation: Number that is raised with each change of ``entries``.
+        source: Node that sent the newest entries, or None if this node read
+            them from the platform.
     """
 
     def __init__(
@@ -128,6 +130,7 @@
         self._last_number = rng.getrandbits(48)
         self._assembly = Assembly(self._counters)
         self.generation = 0
+        self.source: NodeId | None = None
 
     # View of the directory.
 
@@ -264,6 +267,7 @@
             return []
         self._needs_snapshot = False
         previous = self._position
+        self._set_source(None, position)
         changes = self._replace_entries(entries, position, now_s)
         self._confirm(sent_s, now_s)
         if not self._is_announcing() or previous == NO_POSITION:
@@ -310,6 +314,7 @@
             # A peer told of a restore while the read was in progress.
             self._counters.increment("directory.stale_reads")
             return []
+        self._set_source(None, position)
         self._apply_changes(changes, position, now_s)
         self._confirm(now_s, now_s)
         if not self._is_announcing():
@@ -435,6 +440,7 @@
         sent_s = now_s - body.age_ms / 1000
         if body.is_snapshot:
             if body.until > self._position:
+                self._set_source(sender.node, body.until)
                 self._replace_entries(changes, body.until, now_s)
                 self._needs_snapshot = False
         elif not self._continues_entries(body):
@@ -443,6 +449,7 @@
             # Requests the missed changes now, if a request is due.
             return self.on_tick(now_s)
         else:
+            self._set_source(sender.node, body.until)
             self._apply_changes(changes, body.until, now_s)
         self._confirm(sent_s, now_s)
         return []
@@ -476,6 +483,10 @@
 
     # Changes.
 
+    def _set_source(self, source: NodeId | None, position: Position) -> None:
+        if position > self._position:
+            self.source = source
+
     def _apply_changes(
         self, changes: Sequence[Change], position: Position, now_s: float
     ) -> None:
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/directory.feature
@@ -12,6 +12,16 @@
     And 0.4 seconds pass
     Then every node has the entry
 
+  Scenario: A node knows from which node its newest entries are
+    Given 19 nodes that have read the platform
+    When an entry is written
+    And 0.4 seconds pass
+    Then a reader has the entry from the platform and the others from a node
+
+  Scenario: An update of which a part does not arrive is counted
+    When a directory gets 1 of 2 parts of an update and 2 seconds pass
+    Then it has counted 1 directory.partial_expired
+
   Scenario: A change reaches every node although both readers are killed
     Given 19 nodes that have read the platform
     When both readers are killed and an entry is written
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/directory_steps.py
@@ -1,17 +1,24 @@
 import collections
+import random
 
 from behave import given, then, when
 
 from egretrock.coordination.base import Peer
 from egretrock.coordination.directory import (
     DIRECTORY_MESSAGES,
+    Directory,
     Position,
     ReadKind,
     Update,
 )
-from egretrock.coordination.gossip import GOSSIP_MESSAGES, MemberState
+from egretrock.coordination.gossip import (
+    GOSSIP_MESSAGES,
+    MemberRecord,
+    MemberState,
+)
 from egretrock.state.ids import Incarnation, NodeId
 from egretrock_node.protocol.peers import Codec
+from egretrock_node.tests.path_fakes import CountingCounters
 from egretrock_standins.virtual import DiscoveredFleet, Faults
 
 FIRST_KEY, NEW_KEY = "servers/first", "servers/new"
@@ -411,3 +418,37 @@
 @then("it has the entries as before")
 def step_entries_kept(context):
     assert context.receiver.directory.entries() == context.entries
+
+
+@then("a reader has the entry from the platform and the others from a node")
+def step_check_sources(context):
+    fleet = context.fleet
+    readers = current_readers(fleet)
+    sources = {n: p.directory.source for n, p in fleet.nodes.items()}
+    from_platform = {node for node, source in sources.items() if not source}
+    # A reader may be told by the other one before its own read ends.
+    assert from_platform and from_platform <= set(readers), sources
+
+
+@when("a directory gets 1 of 2 parts of an update and 2 seconds pass")
+def step_partial_update(context):
+    context.counters = CountingCounters()
+    own_record = MemberRecord(
+        NodeId("n1"), "a", Incarnation(1), 0, 0, MemberState.ALIVE
+    )
+    directory = Directory(
+        NodeId("n1"),
+        lambda: (own_record,),
+        random.Random(1),
+        0.0,
+        counters=context.counters,
+    )
+    position = Position(0, 5)
+    update = Update(position, position, 0, fragment_count=2, data=b"x")
+    directory.on_message(Peer(NodeId("n2"), Incarnation(1)), update, 1.0)
+    directory.on_tick(3.0)
+
+
+@then("it has counted 1 {name}")
+def step_check_counter(context, name):
+    assert context.counters.counts[name] == 1, context.counters.counts
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -473,6 +473,7 @@
                 "era": self.directory.position.era,
                 "revision": self.directory.revision,
                 "age_s": round(self.directory.age_s(now_s), 3),
+                "source": self.directory.source or "platform",
                 "targets": self.publication.usable_count,
                 "unreadable": published.unreadable_count,
             },
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
@@ -1,6 +1,5 @@
 """The UDP socket for messages between nodes."""
 
-import contextlib
 import functools
 import ipaddress
 from collections.abc import Callable
@@ -157,9 +156,11 @@
         for datagram in datagrams:
             self._counters.increment("peers.datagrams_sent")
             self._counters.increment("peers.bytes_sent", len(datagram))
-            # A refused or unreachable peer is treated as packet loss.
-            with contextlib.suppress(OSError):
+            try:
                 self.transport.write(datagram, split_address(node))
+            except OSError:
+                # An unreachable peer or a full buffer counts as packet loss.
+                self._counters.increment("peers.send_failures")
 
     def _log_version(self, addr: Any, error: UnknownVersionError) -> None:
         now_s = self._clock()
