--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/probing.feature
@@ -91,3 +91,15 @@
     When a target that was probed leaves before its round ends
     And 1 requests arrive one by one within 0.1 seconds
     Then all requests got a target
+
+  # Guards against nodes that all begin with the same targets after a restart.
+  Scenario Outline: The first requests of <nodes> nodes are spread over the targets
+    When <nodes> nodes that have just started choose a target of 50 for a request
+    Then no target gets more than 3 times its share and 5 requests
+
+    Examples:
+      | nodes |
+      | 19    |
+      | 101   |
+      | 312   |
+      | 1000  |
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/probing_steps.py
@@ -497,3 +497,37 @@
 def step_sent_count(context):
     sent_count = len(context.fixture.assignments)
     assert sent_count == 1, sent_count
+
+
+@when(
+    "{node_count:d} nodes that have just started choose a target of"
+    " {target_count:d} for a request"
+)
+def step_first_requests(context, node_count, target_count):
+    targets = make_targets(target_count, 0)
+    context.chosen = collections.Counter()
+    for number in range(node_count):
+        chooser = TargetChooser(
+            lambda service: targets,
+            make_subsets(f"n{number}", node_count, node_count),
+            random.Random(number),
+        )
+        chooser.request(
+            TicketId(1), SERVICE, OrganisationId("acme"), frozenset(), 5.0, 0.0
+        )
+        for probe in chooser.take_probes():
+            instance = InstanceId(probe.target)
+            chooser.on_reading(
+                probe, LoadReading(instance, True, 0, 0, 2), 0.001
+            )
+        (assignment,) = chooser.poll(0.001)
+        context.chosen[assignment.permit.target] += 1
+    context.share = node_count / target_count
+
+
+@then(
+    "no target gets more than {ratio:d} times its share and {count:d} requests"
+)
+def step_first_spread(context, ratio, count):
+    most = max(context.chosen.values())
+    assert most <= ratio * context.share + count, (most, context.share)
