Measure how the time of reading grows with less influence of a busy machine

Trace: the code that is measured is unchanged and in proportion to its bytes (median growth 4.9 in 25 runs at a load of 7.5, where 4 is expected). 5 of the 25 runs exceeded 8, up to 15.4, as the sizes were measured one after the other and the smallest took 5 to 10 ms.

The bound of 8 stays, and a check that takes the square of its bytes still fails (59 and 37 times in two runs).

--- a/packages/egretrock-node/src/egretrock_node/tests/reading.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/reading.py
@@ -1,12 +1,13 @@
 """Checks how the time of reading grows with the bytes that are read."""
 
+import gc
 import time
 import types
 
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
-_REPEATS = 3
+_REPEATS = 7
 #: Time grows by 4 where it is in proportion to the bytes, and by 16 where it
 #: grows with their square.
 _MAX_GROWTH = 8.0
@@ -23,12 +24,21 @@
     """Checks that four times the bytes take about four times as long.
 
     ``prepare(size_bytes)`` returns a function without arguments, which is
-    called once; its processor time is measured.
+    called once; its processor time is measured. The sizes take turns, so that
+    a busy machine slows all of them down alike.
     """
-    times_s = [
-        min(_measure(prepare(max_bytes // part)) for _ in range(_REPEATS))
-        for part in (4, 2, 1)
-    ]
+    times_s = [float("inf")] * 3
+    # The objects of the test run are not scanned, as in a node, which freezes
+    # those that exist after its start.
+    gc.collect()
+    gc.freeze()
+    try:
+        for _ in range(_REPEATS):
+            for index, part in enumerate((4, 2, 1)):
+                time_s = _measure(prepare(max_bytes // part))
+                times_s[index] = min(times_s[index], time_s)
+    finally:
+        gc.unfreeze()
     limit_s = max(_MIN_COMPARED_S, _MAX_GROWTH * times_s[0])
     shown = ", ".join(f"{time_s * 1000:.3f}" for time_s in times_s)
     assert times_s[-1] <= limit_s, (
