--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
@@ -58,3 +58,10 @@
     Given 16 nodes and an organisation that sends 0.6 times its rate
     When after 2 seconds 1 home(s) leave in turn, keep serving and restart
     Then the home that left and its successor report the move
+
+  # Guards against tokens that no node can use, as each has less than one.
+  @known_red
+  Scenario: A rate without an overage is granted whole
+    Given 19 nodes, no overage, and an organisation that sends 1.5 times its rate
+    When no fault occurs
+    Then at least 0.95 of its rate is admitted
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
@@ -85,6 +85,22 @@
     start_fleet(context, count, Organisation(RATE_PER_S, BURST), QUOTA, factor)
 
 
+@given(
+    "{count:d} nodes, no overage, and an organisation that sends {factor:g}"
+    " times its rate"
+)
+def step_no_overage(context, count, factor):
+    quota = QuotaSettings(local_ratio=0.15, pooled_ratio=0.85)
+    start_fleet(context, count, Organisation(40.0, 40.0), quota, factor)
+
+
+@then("at least {ratio:g} of its rate is admitted")
+def step_check_rate_granted(context, ratio):
+    limits = context.fleet.organisations[ACME]
+    admitted = len(context.load.admitted_s) / SPAN_S / limits.rate_per_s
+    assert admitted >= ratio, admitted
+
+
 @given(
     "{count:d} nodes and a large organisation that starts to send {factor:g}"
     " times its rate"
