Print the failed scenarios last in the test run

Which test failed could not be read from it.

The list of known failures is printed first now; place, name, step and the end of the error of each failed scenario follow it, then the sum.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -18,6 +18,8 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PARALLEL_FOLDERS = 4
 FOLDER_TIMEOUT_S = 900
+# Lines of an error message that the list of failures repeats.
+ERROR_LINES = 6
 
 
 class FolderResult(NamedTuple):
@@ -25,9 +27,14 @@
 
     folder: str
     passed: int
-    failed: int
+    failures: list[str]
     output: str
 
+    @property
+    def failed(self) -> int:
+        """Number of scenarios that failed."""
+        return len(self.failures)
+
 
 def find_folders(names: list[str]) -> list[pathlib.Path]:
     """Returns the behave folders whose path contains one of the names."""
@@ -42,17 +49,34 @@
     return [f for f in folders if any(name in str(f) for name in names)]
 
 
-def count_scenarios(report: pathlib.Path) -> tuple[int, int]:
-    """Returns how many scenarios passed and failed in a JSON report."""
-    passed = failed = 0
+def describe_failure(element: dict) -> str:
+    """Returns place, name and error of a scenario that did not pass."""
+    lines = [f"{element['location']}: {element['name']}"]
+    for step in element.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") in ("passed", "skipped", None):
+            continue
+        lines.append(f"  {step['keyword']} {step['name']}: {result['status']}")
+        message = result.get("error_message") or []
+        if isinstance(message, str):
+            message = message.splitlines()
+        lines += [f"    {line}" for line in message[-ERROR_LINES:]]
+    return "\n".join(lines)
+
+
+def read_report(report: pathlib.Path) -> tuple[int, list[str]]:
+    """Returns how many scenarios of a JSON report passed, and the failures."""
+    passed = 0
+    failures = []
     for feature in json.loads(report.read_text() or "[]"):
         for element in feature.get("elements", []):
             if element["type"] == "background":
                 continue
-            status = element["status"]
-            passed += status == "passed"
-            failed += status not in ("passed", "skipped")
-    return passed, failed
+            if element["status"] == "passed":
+                passed += 1
+            elif element["status"] != "skipped":
+                failures.append(describe_failure(element))
+    return passed, failures
 
 
 def run_folder(folder: pathlib.Path) -> FolderResult:
@@ -73,17 +97,16 @@
                 check=False,
             )
         except subprocess.TimeoutExpired:
-            return FolderResult(
-                name, 0, 1, f"timed out after {FOLDER_TIMEOUT_S} s"
-            )
+            message = f"{name}: timed out after {FOLDER_TIMEOUT_S} s"
+            return FolderResult(name, 0, [message], message)
         try:
-            passed, failed = count_scenarios(report)
-        except (OSError, ValueError, KeyError):
-            passed, failed = 0, 1
-        if process.returncode != 0 and failed == 0:
-            failed = 1
-        output = "" if failed == 0 else process.stdout + process.stderr
-        return FolderResult(name, passed, failed, output)
+            passed, failures = read_report(report)
+        except (OSError, ValueError, KeyError) as error:
+            passed, failures = 0, [f"{name}: unreadable report: {error!r}"]
+        if process.returncode != 0 and not failures:
+            failures = [f"{name}: behave returned {process.returncode}"]
+        output = process.stdout + process.stderr if failures else ""
+        return FolderResult(name, passed, failures, output)
 
 
 def main() -> int:
@@ -98,12 +121,16 @@
         print(f"{result.folder}: {result.passed} ok, {result.failed} not ok")
         if result.output:
             print(result.output)
-    passed = sum(result.passed for result in results)
-    failed = sum(result.failed for result in results)
-    print(f"{passed} passed, {failed} failed")
     if KNOWN_RED.exists() and KNOWN_RED.read_text().strip():
         print("Listed in KNOWN-RED.txt:")
         print(KNOWN_RED.read_text().strip())
+    # The failures come last: reports of CI keep only the end of the output.
+    for result in results:
+        for failure in result.failures:
+            print(f"FAILED {failure}")
+    passed = sum(result.passed for result in results)
+    failed = sum(result.failed for result in results)
+    print(f"{passed} passed, {failed} failed")
     return 1 if failed else 0
 
 
