Do not keep the request for which a connection was made

Cause: after a lost connection the node checks by a new one whether the target is alive, and keeps the new one for the next request. Its factory held the callback of the check, that the request that was lost, and that the connection before it with the factory of its own. One connection in use thus kept all requests lost at its target so far, some 27 kB each, out of reach of the garbage collector. Ruled out: garbage that waits for the collector (a full collection freed none of 7,447 requests).

Change: the factory drops its callbacks when the connection is made.

The new scenario kept 100 of 100 requests before, at most 2 now.

--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -186,7 +186,11 @@
 
     def buildProtocol(self, addr: IAddress) -> TargetConnection:  # noqa: N802
         """Returns the protocol of the connection that was made."""
-        return _NewConnection(self._pool, self._address, self._on_connected)
+        on_connected = self._on_connected
+        # The factory lives as long as the connection. The callbacks refer to
+        # the request that needed it, and that to the connection before.
+        del self._on_connected, self._on_failed
+        return _NewConnection(self._pool, self._address, on_connected)
 
     def clientConnectionFailed(  # noqa: N802
         self, connector: IConnector, reason: Failure
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/reading.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/reading.feature
@@ -78,3 +78,9 @@
       | one long trailer  |
       | chunk extensions  |
       | no line end       |
+
+  Scenario: A failed attempt does not stay in memory with a later connection
+    # Guards against a node that grows with each connection that it loses: a
+    # connection made after a loss must not keep the attempt that was lost.
+    When 100 attempts in series fail, each on the connection made after the last one
+    Then at most 2 of the attempts are kept
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/reading_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/reading_steps.py
@@ -1,6 +1,8 @@
 import functools
+import gc
 import random
 import tracemalloc
+import weakref
 
 from behave import then, when
 from twisted.internet.error import ConnectionDone
@@ -254,6 +256,64 @@
     assert context.kept_bytes < max_bytes, context.kept_bytes
 
 
+class ConnectingClock(TurnClock):
+    """A reactor that makes connections at once."""
+
+    def connectTCP(self, host, port, factory, timeout):  # noqa: N802
+        del host, port, timeout
+        self.connection = factory.buildProtocol(None)
+        transport = PausableTransport()
+        # A transport of the reactor refers to its factory, by its connector.
+        transport.factory = factory
+        self.connection.makeConnection(transport)
+
+
+class CheckingListener(RecordingListener):
+    """Checks whether the target is alive when its attempt has failed."""
+
+    def __init__(self, pool, address):
+        super().__init__()
+        self.pool = pool
+        self.address = address
+        self.checks = []
+        self.attempt = pool.create_attempt(address, b"", False, self)
+
+    def on_failure(self, failure):
+        super().on_failure(failure)
+        self.pool.check_alive(self.address, self.on_checked)
+
+    def on_checked(self, is_alive):
+        self.checks.append(is_alive)
+
+
+@when(
+    "{count:d} attempts in series fail, each on the connection made after the"
+    " last one"
+)
+def step_fail_in_series(context, count):
+    clock = ConnectingClock()
+    address = "127.0.0.1:1"
+    pool = TargetPool(clock, clock.seconds, CountingCounters(), IdProtocol())
+    context.attempts = []
+    pool.check_alive(address, [].append)
+    for _ in range(count):
+        listener = CheckingListener(pool, address)
+        connection = clock.connection
+        listener.attempt.send_on(connection)
+        connection.connectionLost(Failure(ConnectionDone()))
+        assert listener.checks == [True], listener.checks
+        context.attempts.append(weakref.ref(listener.attempt))
+    context.pool = pool
+    context.connection = clock.connection
+
+
+@then("at most {count:d} of the attempts are kept")
+def step_attempts_kept(context, count):
+    gc.collect()
+    kept = sum(attempt() is not None for attempt in context.attempts)
+    assert kept <= count, kept
+
+
 @then("the answer {outcome}")
 def step_outcome(context, outcome):
     has_failed = context.request.listener.has_failed
