--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/in_force_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/in_force_steps.py
@@ -33,7 +33,8 @@
 
     def check(self):
         now_s = self.fleet.network.now_s
-        due = sum(now_s - at_s > self.limit_s for at_s in self._written_s) - 1
+        due_count = sum(now_s - at_s > self.limit_s for at_s in self._written_s)
+        due_version = due_count - 1
         for node, process in self.fleet.nodes.items():
             value = process.directory.entries().get(KEY, b"-1 ")
             version = int(value.split(b" ", 1)[0])
@@ -41,8 +42,8 @@
             if version < newest:
                 self.returned.append((node, now_s, version, newest))
             # A process that has just started may still have to join.
-            if version < due and now_s - since_s > self.limit_s:
-                self.late.append((node, now_s, version, due))
+            if version < due_version and now_s - since_s > self.limit_s:
+                self.late.append((node, now_s, version, due_version))
             self._had[process.peer] = since_s, max(version, newest)
 
 
