--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/in_force_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/in_force_steps.py
@@ -4,7 +4,7 @@
 
 from egretrock_standins.virtual import DiscoveredFleet
 
-KEY = "op/config"
+KEY = "configuration"
 VALUE_BYTES = 4_000
 CHECK_S = 0.05
 
