Test that no status out of range reaches a caller

On another system a failing target answered with the status 000, and the caller got it as an answer. Here the status line of an answer is refused unless its code is from 100 to 599: the caller gets 502 with the run state unknown, and a request that may run once is not sent again. No test showed it.

Nine forms of such a status now have one.

--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -96,6 +96,29 @@
     assert node.counters.counts["refusals.target_failed"] == count
 
 
+def answer_with_status(target, status):
+    """Makes the target answer its next request with a status and a body."""
+    target.script = [OK.replace(b"200", status.encode())]
+
+
+@then(
+    'a caller gets 502 with run state unknown when a target answers "{status}"'
+)
+def step_status(context, status):
+    node, target = start_harness(context)
+    answer_with_status(target, status)
+    check_refusal(node.caller(GET + b"\r\n"), 502, "unknown")
+
+
+@then('a payout answered "{status}" is sent once and gets 502')
+def step_status_of_payout(context, status):
+    node, target = context.harness, context.harness.targets[0]
+    answer_with_status(target, status)
+    before = len(target.heads)
+    check_refusal(node.caller(PAYOUT), 502, "unknown")
+    assert len(target.heads) - before == 1
+
+
 @given("targets that may end an answer by closing the connection")
 def step_unframed(context):
     protocol = TargetProtocol()
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
@@ -6,6 +6,24 @@
   Scenario: An answer with a malformed head or framing is not passed on
     Then each of 9 malformed answers gives 502 with run state unknown
 
+  # Guards against a status that is no status of HTTP reaching a caller, for
+  # instance the 000 of a failing target.
+  Scenario Outline: An answer whose status is out of range is not passed on
+    Then a caller gets 502 with run state unknown when a target answers "<status>"
+    And a payout answered "<status>" is sent once and gets 502
+
+    Examples:
+      | status |
+      | 000    |
+      | 001    |
+      | 099    |
+      | 600    |
+      | 999    |
+      | 20     |
+      | 0200   |
+      | 2 0    |
+      | -01    |
+
   # Guards against empty or short bodies that look complete to the caller.
   Scenario Outline: An answer that ends within its head or body is not passed on
     Given targets that may end an answer by closing the connection
