Order waiting requests by priority, prospect and slack; decline slots that none can use

Callers saw: urgent requests waited behind less urgent ones of the same service, as no decision read the priority; requests were sent to slow targets where they could not end before their deadline, and repeats waited outside the queue until their deadline.

Cause: the queue knew neither priority nor the work of a route, and a permit was used for whichever request came next.

Change: the queue orders by prospect, priority and first attempt, within them by slot time between organisations and, where several priorities wait, by least slack. Overflow evicts what costs its caller least. take() gets the slowdown of the slot; a permit that nobody can use is given back and another is requested 20 ms later. Repeats wait in the queue. room() tells the demand of a node.

--- a/packages/egretrock-core/src/egretrock/coordination/queueing/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/__init__.py
@@ -1,4 +1,4 @@
-"""Bounded fair queue for the requests that wait at a node.
+"""Bounded queue for the requests that wait at a node.
 
 Example:
     >>> from egretrock.coordination.queueing import FairQueue, QueuedRequest
@@ -9,6 +9,8 @@
     1
 """
 
-from egretrock.coordination.queueing._queue import FairQueue, QueuedRequest
+from egretrock.coordination.queueing._queue import FairQueue
+from egretrock.coordination.queueing._requests import QueuedRequest
+from egretrock.coordination.queueing._room import ServiceRoom
 
-__all__ = ["FairQueue", "QueuedRequest"]
+__all__ = ["FairQueue", "QueuedRequest", "ServiceRoom"]
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_forecast.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_forecast.py
@@ -58,13 +58,22 @@
 
         It is at least a small share of the pace, as offers vary.
         """
+        return self.left_per_s(1.0, now_s)
+
+    def left_per_s(self, offered_share: float, now_s: float) -> float | None:
+        """Returns the rate that a share of the new requests leaves to others.
+
+        Args:
+            offered_share: Share of the offered requests that go first.
+            now_s: Time.
+        """
         pace_per_s = self.per_s(now_s)
         if pace_per_s is None:
             return None
         since_s = max(self._busy_since_s, now_s - _WINDOW_S)
         while self._offered_s and self._offered_s[0] < since_s:
             self._offered_s.popleft()
-        offered_per_s = len(self._offered_s) / (now_s - since_s)
+        offered_per_s = offered_share * len(self._offered_s) / (now_s - since_s)
         return max(pace_per_s - offered_per_s, _MIN_SURPLUS * pace_per_s)
 
     def per_s(self, now_s: float) -> float | None:
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -2,8 +2,10 @@
 
 A request that cannot begin in time is refused as soon as that is known: the
 pace at which the service takes requests, and the requests before it, tell when
-it would begin. Of the requests of one organisation, those that can still be
-answered within their target latency go before those that cannot.
+it would begin. Requests that can still be answered within their target latency
+go before those that cannot, and among them higher priorities before lower ones.
+Organisations take turns within a priority. A priority that is served much more
+rarely than the others goes first until it has caught up.
 
 The slot time of a request is the time for which it occupies a slot of a
 target.
@@ -14,24 +16,39 @@
 request is taken from the queue, and the difference when it ends.
 """
 
-import collections
 import math
 from collections.abc import Callable, Collection
 
-import msgspec
 from expression import Error, Ok, Result
 
 from egretrock.coordination.base import Counters, NullCounters
-from egretrock.coordination.queueing._forecast import ReturnTimes, ServicePace
-from egretrock.state.ids import OrganisationId, ServiceId, TicketId
+from egretrock.coordination.queueing._flow import (
+    Flow,
+    QueueView,
+    ServiceQueue,
+    view_queue,
+)
+from egretrock.coordination.queueing._ranks import MIN_SERVED_SHARE
+from egretrock.coordination.queueing._requests import (
+    Prospect,
+    QueuedRequest,
+    QueueEntry,
+)
+from egretrock.coordination.queueing._room import ServiceRoom
+from egretrock.coordination.queueing._work import WorkEstimate, WorkEstimates
+from egretrock.state.ids import (
+    OrganisationId,
+    RouteId,
+    ServiceId,
+    TargetId,
+    TicketId,
+)
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 
 #: Slot time that an organisation of mean rate is credited in one round. It
 #: is below that of one request, so that the turn passes to the next
 #: organisation after one or two requests.
 QUANTUM_S = 0.01
-#: Estimated slot time until the first request of a service has ended.
-DEFAULT_SLOT_TIME_S = 0.02
 #: Weight of one request in the moving average of slot times.
 ESTIMATE_WEIGHT = 0.1
 #: Time for which an organisation without requests keeps its debt. Otherwise
@@ -40,9 +57,6 @@
 #: Largest debt, in seconds of slot time; it bounds the wait after one
 #: unusually slow request.
 MAX_DEBT_S = 5.0
-#: Maximum number of requests in flight of one organisation whose estimates are
-#: kept.
-MAX_CHARGED = 10_000
 #: Delay after which the caller of a refused request is told to retry while
 #: the pace of the service is not known.
 RETRY_AFTER_MS = 100
@@ -53,131 +67,12 @@
 MIN_SLOT_SHARE = 0.5
 #: Period at which waiting requests are checked against the forecast.
 FORECAST_PERIOD_S = 0.05
+#: Slots in turn that are declined for their slowdown. The next one is used in
+#: any case, as the expected slowdown may be wrong.
+MAX_DECLINED = 4
 
-
-class QueuedRequest(msgspec.Struct, frozen=True):
-    """One waiting request.
-
-    Attributes:
-        ticket: Number of the request, unique within the process.
-        service: Service that serves it.
-        organisation: Organisation it belongs to.
-        deadline_s: Time from which it must not be sent to a target.
-        objective_s: Time until which its answer has its full value.
-    """
-
-    ticket: TicketId
-    service: ServiceId
-    organisation: OrganisationId
-    deadline_s: float
-    objective_s: float = math.inf
-
-
-class _QueueEntry(msgspec.Struct):
-    item: QueuedRequest
-    estimate_s: float
-
-
-class _Flow:
-    """Requests of one organisation for one service.
-
-    A positive deficit is slot time to spend, a negative one is debt.
-    """
-
-    def __init__(self, weight: float) -> None:
-        self.weight = weight
-        self.backlog: collections.deque[_QueueEntry] = collections.deque()
-        self.backlog_s = 0.0
-        self.deficit_s = 0.0
-        self.charged_estimates_s: collections.deque[float] = collections.deque(
-            maxlen=MAX_CHARGED
-        )
-        self.estimate_s: float | None = None
-        self.idle_since_s = 0.0
-
-    def pop(self, newest: bool = False) -> _QueueEntry:
-        entry = self.backlog.pop() if newest else self.backlog.popleft()
-        return self._removed(entry)
-
-    def feasible_index(self, now_s: float) -> int | None:
-        """Returns the index of the oldest request that can be in time."""
-        for index, entry in enumerate(self.backlog):
-            objective_s = min(entry.item.objective_s, entry.item.deadline_s)
-            if now_s + entry.estimate_s <= objective_s:
-                return index
-        return None
-
-    def pop_at(self, index: int) -> _QueueEntry:
-        entry = self.backlog[index]
-        del self.backlog[index]
-        return self._removed(entry)
-
-    def _removed(self, entry: _QueueEntry) -> _QueueEntry:
-        # An empty backlog is exactly 0, without accumulated rounding errors.
-        remaining_s = self.backlog_s - entry.estimate_s
-        self.backlog_s = remaining_s if self.backlog else 0.0
-        return entry
-
-
-class _ServiceQueue:
-    def __init__(self) -> None:
-        self.flows: dict[OrganisationId, _Flow] = {}
-        self.active_organisations: collections.deque[OrganisationId] = (
-            collections.deque()
-        )
-        self.size = 0
-        self.estimate_s = DEFAULT_SLOT_TIME_S
-        self.pace = ServicePace()
-        self.returns = ReturnTimes()
-        self.next_forecast_s = 0.0
-
-
-class _QueueView(msgspec.Struct):
-    """What waits for a service at one moment.
-
-    Attributes:
-        feasible: For each organisation, its weight and its requests that can
-            meet their objective.
-        feasible_count: Sum of those requests.
-        late_deadlines_s: Deadlines of the other requests.
-    """
-
-    feasible: dict[OrganisationId, tuple[_Flow, int]]
-    feasible_count: int
-    late_deadlines_s: list[float]
-
-    def count_ahead(self, flow: _Flow, position: int) -> int:
-        """Returns how many feasible requests are served before one.
-
-        Args:
-            flow: Requests of its organisation.
-            position: Requests of the organisation before it.
-        """
-        rounds = (position + 1) / flow.weight
-        ahead_count = 0
-        for other, count in self.feasible.values():
-            if other is flow:
-                ahead_count += min(position, count)
-            else:
-                ahead_count += min(count, math.ceil(rounds * other.weight))
-        return ahead_count
-
-
-def _view(queue: _ServiceQueue, now_s: float) -> _QueueView:
-    view = _QueueView({}, 0, [])
-    for organisation in queue.active_organisations:
-        flow = queue.flows[organisation]
-        count = 0
-        for entry in flow.backlog:
-            item = entry.item
-            objective_s = min(item.objective_s, item.deadline_s)
-            if now_s + entry.estimate_s <= objective_s:
-                count += 1
-            else:
-                view.late_deadlines_s.append(item.deadline_s)
-        view.feasible[organisation] = (flow, count)
-        view.feasible_count += count
-    return view
+#: Returns the room of a service over all nodes, or None if it is not known.
+FleetRoom = Callable[[ServiceId, float], ServiceRoom | None]
 
 
 class FairQueue:
@@ -189,6 +84,7 @@
         max_waiting_of: Returns the largest number of waiting requests of a
             service.
         counters: Counters.
+        fleet_room: Returns the room of a service over all nodes.
     """
 
     def __init__(
@@ -196,13 +92,16 @@
         rate_of: Callable[[OrganisationId], float],
         max_waiting_of: Callable[[ServiceId], int],
         counters: Counters | None = None,
+        fleet_room: FleetRoom = lambda _, now_s: None,
     ) -> None:
         self._rate_of = rate_of
         self._max_waiting_of = max_waiting_of
         self._counters = counters or NullCounters()
-        self._services: dict[ServiceId, _ServiceQueue] = {}
+        self._fleet_room = fleet_room
+        self._services: dict[ServiceId, ServiceQueue] = {}
+        self._work = WorkEstimates()
         self._evicted: list[QueuedRequest] = []
-        self._forecast_refusals: dict[TicketId, Refusal] = {}
+        self._refusals: dict[TicketId, Refusal] = {}
         self._expired: list[QueuedRequest] = []
 
     def size(self, service: ServiceId) -> int:
@@ -210,12 +109,25 @@
         queue = self._services.get(service)
         return queue.size if queue else 0
 
+    def room(self, service: ServiceId, now_s: float) -> ServiceRoom:
+        """Returns the demand of this node for a service and what it takes."""
+        queue = self._services.get(service)
+        if queue is None:
+            return ServiceRoom(0.0, 0.0, ())
+        waiting = queue.waiting_by_priority
+        return ServiceRoom(
+            queue.rates.offered_per_s(now_s),
+            queue.rates.taken_per_s(now_s),
+            tuple(waiting[p] for p in range(max(waiting, default=-1) + 1)),
+        )
+
     def offer(self, item: QueuedRequest, now_s: float) -> Result[None, Refusal]:
         """Puts a request into the queue.
 
-        On overflow the newest request of the organisation with the largest
-        backlog relative to its rate is evicted. If that is not ``item``,
-        ``take_evicted`` returns it.
+        On overflow one request is evicted. Where all waiting requests have
+        one priority, it is the newest of the organisation with the largest
+        backlog relative to its rate; otherwise the one that costs its caller
+        least. If that is not ``item``, ``take_evicted`` returns it.
 
         Returns:
             Ok, or a ``queue_full`` or ``deadline_exceeded`` refusal.
@@ -228,34 +140,52 @@
                     "the deadline passed before the request was queued",
                 )
             )
-        queue = self._services.setdefault(item.service, _ServiceQueue())
+        queue = self._services.setdefault(item.service, ServiceQueue())
         flow = self._flow(queue, item.organisation)
-        estimate_s = flow.estimate_s or queue.estimate_s
+        entry = self._entry(queue, flow, item, now_s)
         queue.pace.on_offer(now_s)
+        queue.rates.on_offer(item.priority, now_s)
         refusal = None
         # With an empty queue one request waits, to show when the service takes
         # requests again.
-        if queue.size and queue.pace.per_s(now_s) is not None:
-            entry, position = _QueueEntry(item, estimate_s), len(flow.backlog)
+        if queue.size:
             refusal = self._forecast_refusal(
-                queue, flow, _view(queue, now_s), entry, position, now_s
+                queue,
+                flow,
+                view_queue(queue, now_s),
+                entry,
+                flow.count_of(item.priority),
+                now_s,
             )
         if refusal is not None:
             return Error(refusal)
-        if not flow.backlog:
-            queue.active_organisations.append(item.organisation)
-        flow.backlog.append(_QueueEntry(item, estimate_s))
-        flow.backlog_s += estimate_s
-        queue.size += 1
-        limit = self._max_waiting_of(item.service)
-        if queue.size <= limit:
+        queue.add(flow, entry)
+        if queue.size <= self._max_waiting_of(item.service):
             return Ok(None)
-        evicted_item = self._evict(queue)
+        evicted_item = self._evict(queue, now_s)
         self._counters.increment("queue.evicted")
-        if evicted_item is not item:
-            self._evicted.append(evicted_item)
-            return Ok(None)
-        return Error(self._full_refusal(item))
+        refusal = self._full_refusal(queue, evicted_item, now_s)
+        if evicted_item is item:
+            return Error(refusal)
+        self._refuse_later(evicted_item, refusal)
+        return Ok(None)
+
+    def _entry(
+        self,
+        queue: ServiceQueue,
+        flow: Flow,
+        item: QueuedRequest,
+        now_s: float,
+    ) -> QueueEntry:
+        estimate_s = flow.estimate_s or queue.estimate_s
+        work = self._work.estimate(item.service, item.route, now_s)
+        # Without answers of its route, nothing is known of the shortest work.
+        work = work or WorkEstimate(estimate_s, 0.0)
+        return QueueEntry(item, estimate_s, work)
+
+    def _refuse_later(self, item: QueuedRequest, refusal: Refusal) -> None:
+        self._evicted.append(item)
+        self._refusals[item.ticket] = refusal
 
     def take_evicted(self) -> list[QueuedRequest]:
         """Returns the requests that were evicted since the last call.
@@ -267,24 +197,49 @@
 
     def refusal_of(self, item: QueuedRequest) -> Refusal:
         """Returns the refusal of an evicted request; call it once for each."""
-        refusal = self._forecast_refusals.pop(item.ticket, None)
-        return refusal if refusal is not None else self._full_refusal(item)
+        return self._refusals.pop(item.ticket)
 
-    def _full_refusal(self, item: QueuedRequest) -> Refusal:
+    def _full_refusal(
+        self, queue: ServiceQueue, item: QueuedRequest, now_s: float
+    ) -> Refusal:
         limit = self._max_waiting_of(item.service)
+        retry_after_ms = RETRY_AFTER_MS
+        pace_per_s = queue.pace.per_s(now_s)
+        if pace_per_s is not None:
+            left_s = min(item.deadline_s - now_s, queue.size / pace_per_s)
+            retry_after_ms = _retry_after_ms(
+                queue, item, left_s, pace_per_s, now_s
+            )
         return Refusal(
             RefusalCode.QUEUE_FULL,
             RunState.NOT_RUN,
-            f"the queue of {item.service!r} holds its {limit} requests and "
-            f"{item.organisation!r} has the largest share of them",
-            RETRY_AFTER_MS,
+            f"the queue of {item.service!r} holds its {limit} requests; one of"
+            f" {item.organisation!r} with priority {item.priority} gives way",
+            retry_after_ms,
         )
 
-    def take(self, service: ServiceId, now_s: float) -> QueuedRequest | None:
-        """Removes and returns the next request, or None if none waits.
+    def take(
+        self,
+        service: ServiceId,
+        now_s: float,
+        slowdown: float = 1.0,
+        target: TargetId | None = None,
+    ) -> QueuedRequest | None:
+        """Removes and returns the next request that can use a slot.
+
+        Its deadline has not passed, and it is expected to end before that.
+        The caller must ``report_slot_time`` each request once, however often
+        it is taken.
+
+        Args:
+            service: Service.
+            now_s: Time.
+            slowdown: Expected time to completion at the slot, relative to the
+                usual slot time; above 0.
+            target: Target of the slot, if it is known.
 
-        Its deadline has not passed. The caller must ``report_slot_time`` each
-        request.
+        Returns:
+            The request, or None if no waiting request can use the slot.
         """
         queue = self._services.get(service)
         if queue is None:
@@ -293,27 +248,48 @@
             self._drop_expired(queue, organisation, now_s)
         if not queue.active_organisations:
             return None
-        feasible = {
-            organisation: index
-            for organisation in queue.active_organisations
-            if (index := queue.flows[organisation].feasible_index(now_s))
-            is not None
-        }
-        organisation = self._next_organisation(
-            queue, feasible or queue.active_organisations
-        )
+        if queue.declined_count >= MAX_DECLINED:
+            slowdown = min(slowdown, 1.0)
+        choices = _choices(queue, now_s, slowdown, target)
+        if not choices:
+            queue.declined_count += 1
+            self._counters.increment("queue.slots_declined")
+            return None
+        queue.declined_count = 0
+        organisation = self._next_organisation(queue, choices)
         flow = queue.flows[organisation]
-        entry = flow.pop_at(feasible.get(organisation, 0))
-        queue.size -= 1
+        entry = flow.pop_at(choices.get(organisation, 0))
+        queue.on_removed(entry)
         queue.pace.on_take(now_s)
+        queue.rates.on_take(entry.item.priority, now_s)
         if not queue.size:
             queue.pace.on_empty()
-        flow.deficit_s -= entry.estimate_s
-        flow.charged_estimates_s.append(entry.estimate_s)
+        if not entry.item.is_charged:
+            flow.deficit_s -= entry.estimate_s
+            flow.charged_estimates_s.append(entry.estimate_s)
         if not flow.backlog:
             self._deactivate(queue, organisation)
         return entry.item
 
+    def report_work(
+        self,
+        service: ServiceId,
+        route: RouteId,
+        work_s: float,
+        slowdown: float,
+        now_s: float,
+    ) -> None:
+        """Records an answer, from which the work of its route is learnt.
+
+        Args:
+            service: Service of the request.
+            route: Route of the request.
+            work_s: Time from sending the request to the end of the answer.
+            slowdown: Slowdown that was expected of the target.
+            now_s: Time.
+        """
+        self._work.report(service, route, work_s, slowdown, now_s)
+
     def report_slot_time(
         self,
         organisation: OrganisationId,
@@ -365,33 +341,28 @@
         self._counters.increment("queue.expired", len(expired))
         return expired
 
-    def _evict_late(self, queue: _ServiceQueue, now_s: float) -> None:
+    def _evict_late(self, queue: ServiceQueue, now_s: float) -> None:
         """Evicts the requests that will not be served in time."""
-        if queue.pace.per_s(now_s) is None:
-            return
-        view = _view(queue, now_s)
+        view = view_queue(queue, now_s)
         for organisation in list(queue.active_organisations):
             flow = queue.flows[organisation]
-            for index in reversed(range(len(flow.backlog))):
-                entry = flow.backlog[index]
+            for index, position, entry in reversed(flow.positions()):
                 refusal = self._forecast_refusal(
-                    queue, flow, view, entry, index, now_s
+                    queue, flow, view, entry, position, now_s
                 )
                 if refusal is None:
                     continue
-                flow.pop_at(index)
-                queue.size -= 1
-                self._evicted.append(entry.item)
-                self._forecast_refusals[entry.item.ticket] = refusal
+                queue.on_removed(flow.pop_at(index))
+                self._refuse_later(entry.item, refusal)
             if not flow.backlog:
                 self._deactivate(queue, organisation)
 
     def _forecast_refusal(
         self,
-        queue: _ServiceQueue,
-        flow: _Flow,
-        view: _QueueView,
-        entry: _QueueEntry,
+        queue: ServiceQueue,
+        flow: Flow,
+        view: QueueView,
+        entry: QueueEntry,
         position: int,
         now_s: float,
     ) -> Refusal | None:
@@ -402,55 +373,85 @@
             flow: Requests of its organisation.
             view: What waits for the service.
             entry: The request.
-            position: Requests of the organisation before it.
+            position: Requests of the organisation and priority before it.
             now_s: Time.
         """
-        pace_per_s = queue.pace.per_s(now_s)
-        if pace_per_s is None:
-            return None
         item = entry.item
-        ahead_count = view.count_ahead(flow, position)
-        wait_s = (ahead_count + 1) / pace_per_s
-        trusted_s = FORECAST_SHARE * wait_s
-        objective_s = min(item.objective_s, item.deadline_s)
-        if now_s + trusted_s + entry.estimate_s <= objective_s:
-            return None
-        # It gives way to all requests that can meet their objective, also to
-        # those that will arrive.
-        late_count = view.feasible_count + sum(
-            at_s < item.deadline_s for at_s in view.late_deadlines_s
-        )
-        surplus_per_s = queue.pace.surplus_per_s(now_s)
-        wait_s = max(wait_s, (late_count + 1) / surplus_per_s)
         left_s = item.deadline_s - now_s
-        needed_s = FORECAST_SHARE * wait_s + MIN_SLOT_SHARE * entry.estimate_s
-        if needed_s <= left_s:
+        pace_per_s = queue.pace.per_s(now_s)
+        wait_s = 0.0
+        if pace_per_s is not None:
+            wait_s = self._wait_s(queue, flow, view, entry, position, now_s)
+        room = self._fleet_room(item.service, now_s)
+        if room is not None and item.priority:
+            # Other nodes send requests of higher priorities first.
+            wait_s = max(wait_s, room.wait_s(item.priority - 1) or 0.0)
+        shortest_s = entry.work.shortest_s
+        if pace_per_s is not None:
+            shortest_s = max(shortest_s, MIN_SLOT_SHARE * entry.estimate_s)
+        if FORECAST_SHARE * wait_s + shortest_s <= left_s:
             return None
         self._counters.increment("queue.refused_early")
+        self._counters.increment(f"queue.refused_early.{item.priority}")
         return Refusal(
             RefusalCode.QUEUE_FULL,
             RunState.NOT_RUN,
-            f"{ahead_count} requests of {item.service!r} are served before it,"
-            f" {pace_per_s:.1f} a second; it would begin in {wait_s:.2f} s and"
-            f" has {left_s:.2f} s",
-            round(
-                1000 * queue.returns.retry_after_s(left_s, pace_per_s, now_s)
+            f"{queue.size} requests wait for {item.service!r}; one of priority"
+            f" {item.priority} would begin in {wait_s:.2f} s, needs"
+            f" {shortest_s:.2f} s or more and has {left_s:.2f} s",
+            _retry_after_ms(
+                queue, item, left_s, pace_per_s or 1 / entry.estimate_s, now_s
             ),
         )
 
-    def _flow(
-        self, queue: _ServiceQueue, organisation: OrganisationId
-    ) -> _Flow:
+    def _wait_s(
+        self,
+        queue: ServiceQueue,
+        flow: Flow,
+        view: QueueView,
+        entry: QueueEntry,
+        position: int,
+        now_s: float,
+    ) -> float:
+        """Returns when a request begins, from the pace of the service."""
+        priority = entry.item.priority
+        pace_per_s = queue.pace.per_s(now_s)
+        before_count = view.count_before(priority, flow, position)
+        above_share = queue.rates.offered_share(now_s, priority, above=True)
+        if above_share:
+            above_count = view.count_above(priority)
+            wait_s = (above_count + before_count + 1) / queue.pace.left_per_s(
+                above_share, now_s
+            )
+            granted_per_s = (
+                MIN_SERVED_SHARE
+                * pace_per_s
+                * queue.rates.offered_share(now_s, priority)
+            )
+            if granted_per_s > 0:
+                wait_s = min(wait_s, (before_count + 1) / granted_per_s)
+        else:
+            wait_s = (before_count + 1) / pace_per_s
+        begin_s = now_s + FORECAST_SHARE * wait_s
+        if entry.prospect(begin_s) is Prospect.IN_TIME:
+            return wait_s
+        # It gives way to all requests that can meet their objective, also to
+        # those that will arrive.
+        late_count = view.feasible_count + view.count_late_before(entry)
+        surplus_per_s = queue.pace.surplus_per_s(now_s)
+        return max(wait_s, (late_count + 1) / surplus_per_s)
+
+    def _flow(self, queue: ServiceQueue, organisation: OrganisationId) -> Flow:
         # Above 0, because backlogs are divided by weights.
         weight = max(self._rate_of(organisation), 1e-9)
         flow = queue.flows.get(organisation)
         if flow is None:
-            flow = queue.flows[organisation] = _Flow(weight)
+            flow = queue.flows[organisation] = Flow(weight)
         flow.weight = weight
         return flow
 
     def _next_organisation(
-        self, queue: _ServiceQueue, eligible: Collection[OrganisationId]
+        self, queue: ServiceQueue, eligible: Collection[OrganisationId]
     ) -> OrganisationId:
         """Returns the eligible organisation whose turn it is.
 
@@ -480,30 +481,41 @@
                 queue.active_organisations.rotate(1)
                 return organisation
 
-    def _evict(self, queue: _ServiceQueue) -> QueuedRequest:
+    def _evict(self, queue: ServiceQueue, now_s: float) -> QueuedRequest:
+        """Removes and returns the request that gives way on overflow."""
+        organisations: Collection[OrganisationId] = queue.active_organisations
+        index = -1
+        if queue.has_several_priorities:
+            costs = _eviction_costs(queue, now_s)
+            least = min(cost for cost, _ in costs.values())
+            organisations = [o for o in costs if costs[o][0] == least]
         organisation = max(
-            queue.active_organisations,
+            organisations,
             key=lambda o: queue.flows[o].backlog_s / queue.flows[o].weight,
         )
-        evicted = queue.flows[organisation].pop(newest=True)
-        queue.size -= 1
-        if not queue.flows[organisation].backlog:
+        if queue.has_several_priorities:
+            index = costs[organisation][1]
+        flow = queue.flows[organisation]
+        evicted = flow.pop_at(index)
+        queue.on_removed(evicted)
+        if not flow.backlog:
             self._deactivate(queue, organisation)
         return evicted.item
 
     def _drop_expired(
-        self, queue: _ServiceQueue, organisation: OrganisationId, now_s: float
+        self, queue: ServiceQueue, organisation: OrganisationId, now_s: float
     ) -> None:
         """Drops expired requests from the front of the backlog."""
         flow = queue.flows[organisation]
         while flow.backlog and flow.backlog[0].item.deadline_s <= now_s:
-            self._expired.append(flow.pop().item)
-            queue.size -= 1
+            entry = flow.pop()
+            queue.on_removed(entry)
+            self._expired.append(entry.item)
         if not flow.backlog:
             self._deactivate(queue, organisation)
 
     def _deactivate(
-        self, queue: _ServiceQueue, organisation: OrganisationId
+        self, queue: ServiceQueue, organisation: OrganisationId
     ) -> None:
         queue.active_organisations.remove(organisation)
         # An organisation without waiting requests keeps no credit.
@@ -513,3 +525,85 @@
 
 def _moving_average(average: float, sample: float) -> float:
     return average + ESTIMATE_WEIGHT * (sample - average)
+
+
+def _choices(
+    queue: ServiceQueue,
+    now_s: float,
+    slowdown: float,
+    target: TargetId | None,
+) -> dict[OrganisationId, int]:
+    """Returns the requests among which the turn of organisations decides.
+
+    Args:
+        queue: Queue of the service.
+        now_s: Time.
+        slowdown: Expected time to completion relative to the usual.
+        target: Target of the slot, or None.
+
+    Returns:
+        For each organisation that has one, the index of its request.
+    """
+    is_mixed = queue.has_several_priorities
+    neglected = queue.rates.neglected(now_s) if is_mixed else None
+    best: tuple[int, int, bool] | None = None
+    choices: dict[OrganisationId, int] = {}
+    for organisation in queue.active_organisations:
+        backlog = queue.flows[organisation].backlog
+        for index, entry in enumerate(backlog):
+            item = entry.item
+            if target in item.excluded:
+                continue
+            prospect = entry.prospect(now_s, slowdown)
+            if prospect is Prospect.TOO_LATE:
+                continue
+            rank = -1 if item.priority == neglected else item.priority
+            order = (prospect.value, rank, item.is_repeat)
+            if best is None or order < best:
+                best, choices = order, {organisation: index}
+            elif order == best:
+                chosen = choices.setdefault(organisation, index)
+                if (
+                    is_mixed
+                    and entry.latest_start_s()
+                    < backlog[chosen].latest_start_s()
+                ):
+                    choices[organisation] = index
+            if not (is_mixed or prospect or item.is_repeat):
+                # No later request of this organisation goes before it.
+                break
+    return choices
+
+
+def _eviction_costs(
+    queue: ServiceQueue, now_s: float
+) -> dict[OrganisationId, tuple[tuple[float, ...], int]]:
+    """Returns the request of each organisation that costs its caller least.
+
+    Returns:
+        For each organisation the cost, by which requests of all organisations
+        compare, and the index of the request.
+    """
+    neglected = queue.rates.neglected(now_s)
+    costs = {}
+    for organisation in queue.active_organisations:
+        candidates = []
+        for index, entry in enumerate(queue.flows[organisation].backlog):
+            item = entry.item
+            rank = -1 if item.priority == neglected else item.priority
+            cost = (-entry.prospect(now_s), -rank, not item.is_repeat)
+            candidates.append((cost, -entry.work.typical_s, -index))
+        cost, _, negative_index = min(candidates)
+        costs[organisation] = (cost, -negative_index)
+    return costs
+
+
+def _retry_after_ms(
+    queue: ServiceQueue,
+    item: QueuedRequest,
+    left_s: float,
+    pace_per_s: float,
+    now_s: float,
+) -> int:
+    returns = queue.returns_of(item.priority)
+    return round(1000 * returns.retry_after_s(left_s, pace_per_s, now_s))
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/load_patterns_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/load_patterns_steps.py
@@ -4,7 +4,8 @@
 
 from behave import given, then, when
 
-from egretrock.coordination.queueing import FairQueue, QueuedRequest, _queue
+from egretrock.coordination.queueing import FairQueue, QueuedRequest, _requests
+from egretrock.coordination.queueing._requests import Prospect
 
 SERVICE = "s"
 SLOTS, SLOT_TIME_S = 10, 0.12
@@ -99,7 +100,9 @@
     context.play.run()
     with (
         mock.patch.object(FairQueue, "_forecast_refusal", lambda *_: None),
-        mock.patch.object(_queue._Flow, "feasible_index", lambda *_: None),
+        mock.patch.object(
+            _requests.QueueEntry, "prospect", lambda *_: Prospect.LATE
+        ),
     ):
         context.without.run()
 
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/queueing_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/queueing_steps.py
@@ -25,7 +25,7 @@
     """Evicts from the organisation activated last, not the largest backlog."""
     organisation = queue.active_organisations[-1]
     entry = queue.flows[organisation].pop(newest=True)
-    queue.size -= 1
+    queue.on_removed(entry)
     if not queue.flows[organisation].backlog:
         queue.active_organisations.remove(organisation)
     return entry.item
@@ -37,7 +37,7 @@
         rates = dict.fromkeys(rates, 1.0)
     elif without == "eviction":
         patch = mock.patch.object(
-            FairQueue, "_evict", lambda self, queue: pop_newest(queue)
+            FairQueue, "_evict", lambda self, queue, _: pop_newest(queue)
         )
         patch.start()
         context.add_cleanup(patch.stop)
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -87,6 +87,8 @@
         new_connection: Whether the request may be sent on a first connection
             to the target. Otherwise a connection to ``instance`` must be open.
         choice_reason: Reason for the choice, as text for the log.
+        expected_slowdown: Expected time to completion at the target, relative
+            to the usual service time of the request; above 0.
     """
 
     permit_id: int
@@ -97,6 +99,7 @@
     expires_s: float
     new_connection: bool
     choice_reason: str = ""
+    expected_slowdown: float = 1.0
 
 
 class Assignment(msgspec.Struct, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -102,6 +102,9 @@
 _MAX_TOKEN_WAITERS = 500
 #: A request is sent in a drain only if this many mean slot times are left.
 _DRAIN_SLOT_TIMES = 3.0
+#: Delay after which another permit is requested for a request that could not
+#: use one. It bounds the rate of the probes that a slow service causes.
+_PERMIT_RETRY_S = 0.02
 _OUTCOME_BY_REASON = {
     RetryReason.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
     RetryReason.CONNECTION_LOST: AttemptOutcome.LOST,
@@ -164,6 +167,8 @@
         self._tickets = itertools.count(1)
         self._awaiting_permit: dict[TicketId, Exchange] = {}
         self._queued: dict[TicketId, Exchange] = {}
+        #: Tickets whose permits were declined, and when to request others.
+        self._declined_until_s: dict[TicketId, float] = {}
         self._token_waiters: dict[
             OrganisationId, collections.deque[Exchange]
         ] = {}
@@ -212,6 +217,7 @@
                 self._on_error("request", error)
         self._parts.queue.expire(now_s)
         self._refuse_evicted()
+        self._request_declined_again(now_s)
         self.poll(now_s)
 
     def _check_time(self, exchange: Exchange, now_s: float) -> None:
@@ -519,6 +525,11 @@
             organisation=exchange.organisation or NO_ORGANISATION,
             deadline_s=exchange.deadline_s,
             objective_s=exchange.objective_s,
+            priority=self._priority_of(exchange),
+            route=exchange.match.id,
+            is_repeat=exchange.attempt_count > 0,
+            is_charged=exchange.must_report_slot_time,
+            excluded=exchange.excluded,
         )
         queue = self._parts.queue
         offered = queue.offer(item, now_s)
@@ -533,6 +544,15 @@
         if not exchange.is_done:
             self._ask_permit(exchange, now_s)
 
+    def _priority_of(self, exchange: Exchange) -> int:
+        """Returns the priority of the organisation, else of the route."""
+        config = self._parts.fleet.config()
+        if config is not None and exchange.organisation is not None:
+            organisation = config.organisations.get(exchange.organisation)
+            if organisation is not None and organisation.priority is not None:
+                return organisation.priority
+        return exchange.match.route.priority
+
     def _refuse_evicted(self) -> None:
         """Refuses the requests that the queue has evicted."""
         queue = self._parts.queue
@@ -578,7 +598,7 @@
     def _on_assignment(self, assignment: Assignment, now_s: float) -> None:
         exchange = self._awaiting_permit.pop(assignment.ticket, None)
         if exchange is not None and exchange.queue_ticket is not None:
-            exchange = self._next_queued(exchange, now_s)
+            exchange = self._next_queued(exchange, assignment.permit, now_s)
         if exchange is None:
             unused = AttemptResult(AttemptOutcome.UNUSED)
             self._send(
@@ -598,22 +618,26 @@
         attempt.handle.start()
 
     def _next_queued(
-        self, requester: Exchange, now_s: float
+        self, requester: Exchange, permit: Permit, now_s: float
     ) -> Exchange | None:
-        """Returns the request that the fair queue serves next.
+        """Returns the request that the queue serves next, or None.
 
         The returned request uses the permit that was granted for the ticket
         of ``requester``. In exchange ``requester`` waits on with the ticket of
-        the returned request.
+        the returned request. If no request can use the permit, ``requester``
+        waits on for another one.
         """
         service = requester.match.route.service
-        while item := self._parts.queue.take(service, now_s):
+        while item := self._parts.queue.take(
+            service, now_s, permit.expected_slowdown, permit.target
+        ):
             chosen = self._queued.pop(item.ticket, None)
             if chosen is None:
                 # The caller has disconnected, so no slot time was used.
-                self._parts.queue.report_slot_time(
-                    item.organisation, service, 0.0
-                )
+                if not item.is_charged:
+                    self._parts.queue.report_slot_time(
+                        item.organisation, service, 0.0
+                    )
                 continue
             chosen.queue_ticket = None
             chosen.must_report_slot_time = True
@@ -621,11 +645,32 @@
                 requester.ticket = chosen.ticket
                 self._awaiting_permit[requester.ticket] = requester
             return chosen
-        # The queue dropped the requester at its deadline.
-        requester.ticket = None
-        requester.refuse(DEADLINE_EXCEEDED)
+        if now_s >= requester.deadline_s:
+            # The queue dropped the requester at its deadline.
+            requester.ticket = None
+            requester.refuse(DEADLINE_EXCEEDED)
+            return None
+        _log.debug(
+            "permit declined",
+            extra={
+                "service": service,
+                "target": permit.target,
+                "slowdown": round(permit.expected_slowdown, 2),
+                "left_ms": round((requester.deadline_s - now_s) * 1000),
+            },
+        )
+        self._awaiting_permit[requester.ticket] = requester
+        self._declined_until_s[requester.ticket] = now_s + _PERMIT_RETRY_S
         return None
 
+    def _request_declined_again(self, now_s: float) -> None:
+        """Requests permits for the requests whose last one was declined."""
+        for ticket, until_s in list(self._declined_until_s.items()):
+            if now_s < until_s:
+                return
+            del self._declined_until_s[ticket]
+            self._ask_permit(self._awaiting_permit[ticket], now_s)
+
     # Checks that are repeated before each step.
 
     def prepare_dispatch(
@@ -811,6 +856,14 @@
         exchange.attempt = None
         self._return_permit(exchange, attempt, result, now_s)
         service = exchange.match.route.service
+        if result.outcome is AttemptOutcome.OK:
+            self._parts.queue.report_work(
+                service,
+                exchange.match.id,
+                result.latency_s,
+                attempt.permit.expected_slowdown,
+                now_s,
+            )
         mean_s = self._slot_time_s.get(service, result.latency_s)
         self._slot_time_s[service] = mean_s + _SLOT_TIME_WEIGHT * (
             result.latency_s - mean_s
@@ -967,8 +1020,7 @@
         self, exchange: Exchange, attempt: Attempt, now_s: float
     ) -> None:
         exchange.excluded |= {attempt.permit.target}
-        self._new_ticket(exchange)
-        self._ask_permit(exchange, now_s)
+        self._enqueue(exchange, now_s)
 
     def cancel_pending(
         self, exchange: Exchange, outcome: AttemptOutcome
@@ -976,8 +1028,13 @@
         """Removes a request from all queues and abandons its attempt."""
         now_s = self.now()
         if exchange.ticket is not None:
-            if self._awaiting_permit.pop(exchange.ticket, None) is not None:
-                self._send(self._parts.permits.cancel(exchange.ticket, now_s))
+            ticket = exchange.ticket
+            is_declined = self._declined_until_s.pop(ticket, None) is not None
+            if (
+                self._awaiting_permit.pop(ticket, None) is not None
+                and not is_declined
+            ):
+                self._send(self._parts.permits.cancel(ticket, now_s))
             exchange.ticket = None
         if exchange.queue_ticket is not None:
             self._queued.pop(exchange.queue_ticket, None)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -29,6 +29,7 @@
     Fingerprint,
     InstanceId,
     OrganisationId,
+    RouteId,
     ServiceId,
     TargetId,
     TicketId,
@@ -89,8 +90,29 @@
         """Puts a request into the queue, or refuses it."""
         ...
 
-    def take(self, service: ServiceId, now_s: float) -> QueuedRequest | None:
-        """Removes and returns the next request, or None if none waits."""
+    def take(
+        self,
+        service: ServiceId,
+        now_s: float,
+        slowdown: float = 1.0,
+        target: TargetId | None = None,
+    ) -> QueuedRequest | None:
+        """Removes and returns the next request that can use a slot.
+
+        Returns:
+            The request, or None if no waiting request can use the slot.
+        """
+        ...
+
+    def report_work(
+        self,
+        service: ServiceId,
+        route: RouteId,
+        work_s: float,
+        slowdown: float,
+        now_s: float,
+    ) -> None:
+        """Records how long a target worked on a request of a route."""
         ...
 
     def report_slot_time(
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -101,6 +101,32 @@
     When 3 requests wait and the caller of the second leaves
     Then the permits go to the requests 1, 3
 
+  Scenario: A permit that no waiting request can use is given back
+    When the queue declines a permit for a request
+    Then no attempt was made and the permit was returned unused
+    And the request is sent 20 ms later, once the queue takes a permit
+
+  Scenario: A caller that leaves after its permit was declined is forgotten
+    When the queue declines a permit for a request
+    And its caller leaves
+    Then no attempt was made and the permit was returned unused
+    And no permit is requested 20 ms later
+
+  Scenario: A repeat waits in the queue with the targets that it excludes
+    When a request is sent to a target that sheds it
+    Then the queue got a repeat that excludes this target
+
+  Scenario Outline: The queue gets the priority of the organisation or the route
+    Given a route of priority 2 and an organisation of priority <organisation>
+    When its request is queued
+    Then the queue got a request of priority <priority>
+
+    Examples:
+      | organisation | priority |
+      | none         | 2        |
+      | 1            | 1        |
+      | 0            | 0        |
+
   Scenario: A request with a repeated idempotency key does not run again
     When a payout with an idempotency key is answered
     And the same payout is sent again
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -6,6 +6,7 @@
 from expression import Error
 
 from egretrock.coordination.idempotency import BeginOutcome
+from egretrock.coordination.targets import AttemptOutcome
 from egretrock.state.config import (
     DataCentre,
     DataCentreState,
@@ -488,3 +489,88 @@
     statuses = [status_of(e.caller)[0] for e in context.exchanges]
     assert statuses == [503, 503]
     assert context.pipeline.in_flight_count == 0
+
+
+@when("the queue declines a permit for a request")
+def step_decline(context):
+    queue = context.parts.queue
+    context.queue_take = queue.take
+    queue.take = Mock(return_value=None)
+    start(context)
+
+
+@when("its caller leaves")
+def step_declined_leaves(context):
+    context.exchanges[-1].on_caller_disconnected()
+
+
+@then("no attempt was made and the permit was returned unused")
+def step_declined(context):
+    assert not context.targets.attempts
+    outcomes = [result.outcome for result in context.parts.permits.results]
+    assert outcomes == [AttemptOutcome.UNUSED], outcomes
+
+
+@then("the request is sent 20 ms later, once the queue takes a permit")
+def step_sent_after_decline(context):
+    context.parts.queue.take = context.queue_take
+    tick(context, 0.015)
+    assert not context.targets.sent
+    tick(context, 0.006)
+    check_sent(context, "1")
+
+
+@then("no permit is requested 20 ms later")
+def step_no_request(context):
+    tick(context, 0.03)
+    assert not context.targets.attempts
+    assert len(context.parts.permits.results) == 1
+
+
+@when("a request is sent to a target that sheds it")
+def step_shed_once(context):
+    context.offered = []
+    offer = context.parts.queue.offer
+    context.parts.queue.offer = lambda item, now_s: (
+        context.offered.append(item) or offer(item, now_s)
+    )
+    start(context)
+    context.targets.sent[-1].listener.on_failure(
+        AttemptFailure(RetryReason.SHED, RunState.NOT_RUN, "full")
+    )
+
+
+@then("the queue got a repeat that excludes this target")
+def step_repeat_offered(context):
+    first, repeat = context.offered
+    assert not first.is_repeat and not first.excluded, first
+    assert repeat.is_repeat and repeat.is_charged, repeat
+    assert repeat.excluded == {"t0"}, repeat
+    assert [t.address for t in context.targets.sent] == ADDRESSES
+
+
+@given("a route of priority 2 and an organisation of priority {priority}")
+def step_priorities(context, priority):
+    changed = msgspec.structs.replace
+    routes = context.published.routes
+    organisation = changed(
+        context.published.organisations["acme"],
+        priority=None if priority == "none" else int(priority),
+    )
+    publish(
+        context,
+        routes={**routes, "records": changed(routes["records"], priority=2)},
+        organisations={"acme": organisation},
+    )
+
+
+@when("its request is queued")
+def step_its_request_queued(context):
+    context.parts.permits.is_blocked = True
+    start(context)
+
+
+@then("the queue got a request of priority {priority:d}")
+def step_priority_offered(context, priority):
+    (item,) = context.parts.queue.items
+    assert item.priority == priority, item
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -75,8 +75,9 @@
             Mock(),
             Mock(),
         )
+        self.report_work = Mock()
 
-    def take(self, service, now_s):
+    def take(self, service, now_s, slowdown=1.0, target=None):
         return self.items.pop(0) if self.items else None
 
 
