Leave slow slots to others, judge returning callers by their age; play overloads

Callers saw: urgent requests went to slow targets while faster ones were about to be free, and callers that had been refused once took the places of others who could still be answered in time.

Cause: a slot went to the first request of the best rank, whatever it could get there; the objective of a returning caller was counted anew.

Change: a request that can be in time at a slot as fast as those of the last half second leaves a slow one to others; the time a caller has left tells its age. balancing_experiment overload plays named loads with equal and with ranked requests, and with a schedule that knows all arrivals.

--- a/packages/egretrock-core/src/egretrock/coordination/queueing/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/__init__.py
@@ -9,8 +9,9 @@
     1
 """
 
+from egretrock.coordination.queueing._ages import CallerAges
 from egretrock.coordination.queueing._queue import FairQueue
 from egretrock.coordination.queueing._requests import QueuedRequest
 from egretrock.coordination.queueing._room import ServiceRoom
 
-__all__ = ["FairQueue", "QueuedRequest", "ServiceRoom"]
+__all__ = ["CallerAges", "FairQueue", "QueuedRequest", "ServiceRoom"]
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
@@ -8,6 +8,7 @@
 from egretrock.coordination.queueing._forecast import ReturnTimes, ServicePace
 from egretrock.coordination.queueing._ranks import RankRates
 from egretrock.coordination.queueing._requests import Prospect, QueueEntry
+from egretrock.coordination.queueing._slots import RecentSlots
 from egretrock.state.ids import OrganisationId
 
 #: Estimated slot time until the first request of a service has ended.
@@ -89,7 +90,9 @@
         rates: Requests offered and taken, by priority.
         returns: Times at which refused callers return, by priority.
         next_forecast_s: Time at which waiting requests are checked next.
-        declined_count: Slots in turn that no waiting request could use.
+        declined_since_s: Time since which no waiting request could use any
+            slot, or None.
+        slots: Slowdown of the slots that were offered lately.
     """
 
     def __init__(self) -> None:
@@ -106,7 +109,8 @@
         self.rates = RankRates()
         self.returns: dict[int, ReturnTimes] = {}
         self.next_forecast_s = 0.0
-        self.declined_count = 0
+        self.declined_since_s: float | None = None
+        self.slots = RecentSlots()
 
     @property
     def has_several_priorities(self) -> bool:
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -67,9 +67,13 @@
 MIN_SLOT_SHARE = 0.5
 #: Period at which waiting requests are checked against the forecast.
 FORECAST_PERIOD_S = 0.05
-#: Slots in turn that are declined for their slowdown. The next one is used in
-#: any case, as the expected slowdown may be wrong.
-MAX_DECLINED = 4
+#: Time for which all slots are declined for their slowdown. The next one is
+#: used in any case, as the expected slowdown may be wrong.
+MAX_DECLINED_S = 0.25
+
+#: Time after which a request that leaves a slow slot to others may get a
+#: faster one.
+FASTER_SLOT_WAIT_S = 0.05
 
 #: Returns the room of a service over all nodes, or None if it is not known.
 FleetRoom = Callable[[ServiceId, float], ServiceRoom | None]
@@ -248,14 +252,17 @@
             self._drop_expired(queue, organisation, now_s)
         if not queue.active_organisations:
             return None
-        if queue.declined_count >= MAX_DECLINED:
+        queue.slots.on_slot(slowdown, now_s)
+        declined_s = queue.declined_since_s
+        if declined_s is not None and now_s - declined_s >= MAX_DECLINED_S:
             slowdown = min(slowdown, 1.0)
         choices = _choices(queue, now_s, slowdown, target)
         if not choices:
-            queue.declined_count += 1
+            if declined_s is None:
+                queue.declined_since_s = now_s
             self._counters.increment("queue.slots_declined")
             return None
-        queue.declined_count = 0
+        queue.declined_since_s = None
         organisation = self._next_organisation(queue, choices)
         flow = queue.flows[organisation]
         entry = flow.pop_at(choices.get(organisation, 0))
@@ -546,6 +553,7 @@
     """
     is_mixed = queue.has_several_priorities
     neglected = queue.rates.neglected(now_s) if is_mixed else None
+    usual = queue.slots.least_slowdown(now_s)
     best: tuple[int, int, bool] | None = None
     choices: dict[OrganisationId, int] = {}
     for organisation in queue.active_organisations:
@@ -555,7 +563,10 @@
             if target in item.excluded:
                 continue
             prospect = entry.prospect(now_s, slowdown)
-            if prospect is Prospect.TOO_LATE:
+            if prospect is Prospect.TOO_LATE or (
+                prospect is Prospect.LATE
+                and _waits_for_faster(entry, now_s, slowdown, usual)
+            ):
                 continue
             rank = -1 if item.priority == neglected else item.priority
             order = (prospect.value, rank, item.is_repeat)
@@ -575,6 +586,23 @@
     return choices
 
 
+def _waits_for_faster(
+    entry: QueueEntry, now_s: float, slowdown: float, usual: float
+) -> bool:
+    """Returns whether a request should leave a slow slot to others.
+
+    It may still be in time at a slot as fast as recent ones. It takes the slow
+    one at the last moment at which it probably ends there by its deadline.
+    """
+    later_s = now_s + FASTER_SLOT_WAIT_S
+    end_s = now_s + slowdown * entry.work.typical_s
+    is_last_moment = end_s <= entry.item.deadline_s < end_s + FASTER_SLOT_WAIT_S
+    return (
+        entry.prospect(later_s, usual) is Prospect.IN_TIME
+        and not is_last_moment
+    )
+
+
 def _eviction_costs(
     queue: ServiceQueue, now_s: float
 ) -> dict[OrganisationId, tuple[tuple[float, ...], int]]:
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_work.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_work.py
@@ -15,6 +15,7 @@
 #: Share of the samples below the shortest work that is expected. Shorter ones
 #: are too rare to begin a request for.
 _SHORTEST_QUANTILE = 0.05
+_TYPICAL_QUANTILE = 0.75
 #: Largest number of routes whose samples are kept.
 _MAX_ROUTES = 10_000
 #: Longest slowdown of an attempt whose duration is taken for its work.
@@ -48,7 +49,8 @@
             return
         ordered = sorted(value_s for _, value_s in self.values_s)
         self.estimate = WorkEstimate(
-            ordered[count // 2], ordered[int(count * _SHORTEST_QUANTILE)]
+            ordered[int(count * _TYPICAL_QUANTILE)],
+            ordered[int(count * _SHORTEST_QUANTILE)],
         )
 
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -12,7 +12,7 @@
     BeginResult,
     record_key,
 )
-from egretrock.coordination.queueing import QueuedRequest
+from egretrock.coordination.queueing import CallerAges, QueuedRequest
 from egretrock.coordination.retries import FailedAttempt, RetryState
 from egretrock.coordination.targets import (
     Assignment,
@@ -181,6 +181,7 @@
         self._instances: dict[TargetId, InstanceId] = {}
         self._suspicions = CrashSuspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
+        self._caller_ages = CallerAges()
         self._refuses_new = False
         self._refuses_from_s = self._serves_until_s = float("inf")
         self._is_polling_permits = False
@@ -326,7 +327,11 @@
         exchange.deadline_s = now_s + deadline_ms / 1000
         exchange.objective_s = exchange.deadline_s
         if match.route.target_latency_ms is not None:
-            exchange.objective_s = now_s + match.route.target_latency_ms / 1000
+            exchange.objective_s = (
+                now_s
+                + match.route.target_latency_ms / 1000
+                - self._caller_age_s(exchange)
+            )
         if match.route.access is Access.KEYED:
             if key is None:
                 message = "the route needs a key and the request has none"
@@ -340,6 +345,13 @@
             return refusal
         return self._read_record_key(exchange)
 
+    def _caller_age_s(self, exchange: Exchange) -> float:
+        """Returns the seconds since the first attempt of a caller."""
+        left_ms = exchange.caller_deadline_ms
+        if left_ms is None:
+            return 0.0
+        return self._caller_ages.age_s(exchange.match.id, left_ms)
+
     def _check_node(self, exchange: Exchange, now_s: float) -> Refusal | None:
         fleet = self._parts.fleet
         if not fleet.is_fresh(now_s):
--- a/packages/egretrock-standins/src/egretrock_standins/balancing_experiment/__main__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/balancing_experiment/__main__.py
@@ -15,6 +15,11 @@
     QueueOrder,
     run_order,
 )
+from egretrock_standins.balancing_experiment._overload import (
+    PATTERNS,
+    QueuePolicy,
+    run_overload,
+)
 
 app = cyclopts.App(name="balancing_experiment")
 Pool = concurrent.futures.ProcessPoolExecutor
@@ -126,5 +131,42 @@
             )
 
 
+@app.command
+def overload(
+    *,
+    pattern: tuple[str, ...] = tuple(PATTERNS),
+    policy: tuple[QueuePolicy, ...] = tuple(QueuePolicy),
+    seed: int = 1,
+    processes: int = 1,
+) -> None:
+    """Prints what the callers of each route see when there is too little room.
+
+    Args:
+        pattern: Names of load patterns.
+        policy: Queue policies to compare.
+        seed: Seed.
+        processes: Number of parallel processes.
+    """
+    runs = [(PATTERNS[name], p, seed) for name in pattern for p in policy]
+    names = [(name, p) for name in pattern for p in policy]
+    with Pool(max_workers=processes) as pool:
+        results = pool.map(run_overload, *zip(*runs, strict=True))
+        for (name, run_policy), routes in zip(names, results, strict=True):
+            if run_policy is policy[0]:
+                print(f"\n{name}")
+            for route, result in routes.items():
+                offered = result.offered
+                print(
+                    f"  {run_policy.value:<12}{route:<9}{offered:>6}"
+                    f"  in time{100 * result.in_time / offered:>6.1f}%"
+                    f"  late{100 * result.late / offered:>5.1f}%"
+                    f"  refused{100 * result.refused / offered:>5.1f}%"
+                    f"  expired{result.expired:>4}"
+                    f"  in vain{result.in_vain:>4}"
+                    f"  time in vain{result.vain_s:>7.1f} s",
+                    flush=True,
+                )
+
+
 if __name__ == "__main__":
     app()
