--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_forecast.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_forecast.py
@@ -12,6 +12,10 @@
 #: Share of the time that a caller has left within which it is told to return,
 #: so that another attempt can still be served.
 _MAX_RETURN_SHARE = 1 / 3
+#: Takes at the usual rate that fail to come in a stall; fewer are chance.
+_MIN_MISSED_TAKES = 8.0
+#: A stall is forecast to last at most this many times as long as it has lasted.
+_STALL_FACTOR = 4.0
 _MIN_RETURN_S = 0.05
 
 
@@ -30,6 +34,8 @@
             maxlen=_MAX_TAKES
         )
         self._busy_since_s: float | None = None
+        self._last_take_s = float("-inf")
+        self._usual_per_s = 0.0
 
     def on_offer(self, now_s: float) -> None:
         """Records that a request was offered."""
@@ -39,9 +45,47 @@
         if self._busy_since_s is None:
             self._busy_since_s = now_s
 
-    def on_take(self, now_s: float) -> None:
-        """Records that a request was taken."""
+    def on_take(self, now_s: float, usual_per_s: float) -> None:
+        """Records that a request was taken.
+
+        Args:
+            now_s: Time.
+            usual_per_s: Requests taken per second in the last seconds.
+        """
+        if self._stall_s(now_s) is not None:
+            # The pace is measured anew after a stall.
+            self.on_empty()
+            self._busy_since_s = now_s
         self._taken_s.append(now_s)
+        self._last_take_s = now_s
+        self._usual_per_s = usual_per_s
+
+    def stall_wait_s(self, count: int, now_s: float) -> float | None:
+        """Returns the wait in a stall, in which no request is taken.
+
+        The pace of a short stall is no forecast: it may end at any time, and
+        requests are taken at the usual rate then.
+
+        Args:
+            count: Requests that are taken until then.
+            now_s: Time.
+
+        Returns:
+            The time in seconds, or None if requests are being taken or no
+            rate is known.
+        """
+        stall_s = self._stall_s(now_s)
+        if stall_s is None:
+            return None
+        return _STALL_FACTOR * stall_s + count / self._usual_per_s
+
+    def _stall_s(self, now_s: float) -> float | None:
+        """Returns how long no request has been taken, or None."""
+        if self._busy_since_s is None or self._usual_per_s <= 0:
+            return None
+        stall_s = now_s - max(self._last_take_s, self._busy_since_s)
+        missed_count = stall_s * self._usual_per_s
+        return stall_s if missed_count >= _MIN_MISSED_TAKES else None
 
     def on_empty(self) -> None:
         """Records that all waiting requests were taken.
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -267,8 +267,8 @@
         flow = queue.flows[organisation]
         entry = flow.pop_at(choices.get(organisation, 0))
         queue.on_removed(entry)
-        queue.pace.on_take(now_s)
         queue.rates.on_take(entry.item.priority, now_s)
+        queue.pace.on_take(now_s, queue.rates.taken_per_s(now_s))
         if not queue.size:
             queue.pace.on_empty()
         if not entry.item.is_charged:
@@ -421,6 +421,9 @@
         now_s: float,
     ) -> float:
         """Returns when a request begins, from the pace of the service."""
+        stall_wait_s = queue.pace.stall_wait_s(queue.size + 1, now_s)
+        if stall_wait_s is not None:
+            return stall_wait_s
         priority = entry.item.priority
         pace_per_s = queue.pace.per_s(now_s)
         before_count = view.count_before(priority, flow, position)
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_work.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_work.py
@@ -11,10 +11,12 @@
 _MIN_SAMPLES = 8
 #: Age from which samples are dropped, so that a route whose requests are all
 #: refused is tried again.
-_MAX_AGE_S = 10.0
+_MAX_AGE_S = 30.0
 #: Share of the samples below the shortest work that is expected. Shorter ones
 #: are too rare to begin a request for.
 _SHORTEST_QUANTILE = 0.05
+#: Share of the samples that the typical work covers, so that most requests that
+#: begin at the last moment are in time.
 _TYPICAL_QUANTILE = 0.75
 #: Largest number of routes whose samples are kept.
 _MAX_ROUTES = 10_000
@@ -26,7 +28,7 @@
     """Slot time that a request needs at the usual pace of its service.
 
     Attributes:
-        typical_s: Slot time that half of the requests do not exceed.
+        typical_s: Slot time that three quarters of the requests do not exceed.
         shortest_s: Slot time that nearly all requests exceed; 0 if not known.
     """
 
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/load_patterns.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/load_patterns.feature
@@ -32,3 +32,8 @@
     Given the load pattern "steady load below the capacity"
     When it is played
     Then no request is refused
+
+  Scenario: A short stall is not taken for the pace of the service
+    Given the load pattern "no slot is usable for 0.4 s"
+    When it is played
+    Then no request is refused
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/load_patterns_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/load_patterns_steps.py
@@ -25,6 +25,7 @@
         EVENT_TO_S,
     ),
     "no slot is usable for 4 s": ([0.8 / 8] * 8, 0, 8.0),
+    "no slot is usable for 0.4 s": ([0.7 / 8] * 8, 0, EVENT_FROM_S + 0.4),
     "steady load below the capacity": ([0.7 / 8] * 8, SLOTS, EVENT_TO_S),
 }
 CALM_SHARE = 0.7 / 8
