Choose targets by what a request has at stake

What callers saw: requests that may run once went to targets that lost answers, requests with little slack into queues and slow targets, and about every 1.5 requests opened a connection. Cause: the choice knew the load of the targets only, widened a round when its first answer was a slow target, and probed targets whose connections were busy.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
@@ -9,6 +9,12 @@
     TargetChooser,
     UsableTargets,
 )
+from egretrock.coordination.probing._ports import (
+    IdleConnections,
+    NoConnections,
+    NoEvidence,
+    TargetEvidence,
+)
 from egretrock.coordination.probing._readings import (
     LoadProbe,
     LoadReading,
@@ -22,11 +28,15 @@
 
 __all__ = [
     "ChoiceSettings",
+    "IdleConnections",
     "LoadProbe",
     "LoadReading",
+    "NoConnections",
+    "NoEvidence",
     "Subset",
     "SubsetSettings",
     "TargetChooser",
+    "TargetEvidence",
     "TargetSubsets",
     "UsableTargets",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -1,5 +1,6 @@
 """Rounds of probes, and the permits that result from them."""
 
+import functools
 import itertools
 import random
 from collections.abc import Callable, Mapping, Sequence
@@ -10,8 +11,20 @@
     TargetBounds,
     Unbounded,
 )
+from egretrock.coordination.probing._candidates import Candidate
+from egretrock.coordination.probing._needs import (
+    Needs,
+    needs_of,
+    start_order,
+)
+from egretrock.coordination.probing._ports import (
+    IdleConnections,
+    NoConnections,
+    NoEvidence,
+    TargetEvidence,
+)
+from egretrock.coordination.probing._probe_order import ProbeOrder
 from egretrock.coordination.probing._readings import (
-    Candidate,
     LoadProbe,
     LoadReading,
     TargetStats,
@@ -21,6 +34,7 @@
     ServiceDemand,
     Ticket,
 )
+from egretrock.coordination.probing._selection import TargetSelector
 from egretrock.coordination.probing._settings import ChoiceSettings
 from egretrock.coordination.probing._subsets import TargetSubsets
 from egretrock.coordination.targets import (
@@ -28,6 +42,7 @@
     AttemptOutcome,
     AttemptResult,
     Permit,
+    RequestStake,
 )
 from egretrock.state.config import Target
 from egretrock.state.ids import (
@@ -52,6 +67,15 @@
     }
 )
 
+#: Outcomes that say nothing about the target.
+_WITHOUT_EVIDENCE = frozenset(
+    {
+        AttemptOutcome.CANCELLED,
+        AttemptOutcome.UNUSED,
+        AttemptOutcome.UNUSABLE,
+    }
+)
+
 _DEFAULTS = ChoiceSettings()
 
 
@@ -76,6 +100,9 @@
         on_probes_due: Called when there are new probes to send, while the
             chooser is updating its state; must not send them before it
             returns.
+        evidence: Outcomes of attempts at the targets, also those of other
+            nodes.
+        connections: Open connections of this node.
     """
 
     def __init__(
@@ -89,6 +116,8 @@
         on_probes_due: Callable[[], None] = lambda: None,
         bounds: TargetBounds | Unbounded | None = None,
         warm_up_rate_of: Callable[[ServiceId], float | None] = lambda _: None,
+        evidence: TargetEvidence | None = None,
+        connections: IdleConnections | None = None,
     ) -> None:
         self._warm_up_rate_of = warm_up_rate_of
         self._bounds = bounds or Unbounded()
@@ -102,6 +131,19 @@
         self._demands: dict[ServiceId, ServiceDemand] = {}
         self._service_of: dict[TicketId, ServiceId] = {}
         self._stats: dict[TargetId, TargetStats] = {}
+        self._evidence = evidence or NoEvidence()
+        connections = connections or NoConnections()
+        self._probe_order = ProbeOrder(
+            self._stats,
+            settings,
+            self._bounds,
+            self._evidence,
+            connections,
+            rng,
+        )
+        self._selector = TargetSelector(
+            settings, self._evidence, connections, self._counters
+        )
         self._pending_probes: dict[int, tuple[ProbeRound, float]] = {}
         self._id_sequence = itertools.count(1)
         self._unsent_probes: list[LoadProbe] = []
@@ -117,11 +159,12 @@
         excluded: frozenset[TargetId],
         deadline_s: float,
         now_s: float,
+        stake: RequestStake | None = None,
     ) -> list[Outbound]:
         """Requests a target for one waiting request."""
         del organisation, deadline_s
         demand = self._demands.setdefault(service, ServiceDemand())
-        demand.tickets[ticket] = Ticket(service, excluded)
+        demand.tickets[ticket] = Ticket(service, excluded, now_s, stake)
         self._service_of[ticket] = service
         self._start_rounds(service, demand, now_s)
         return []
@@ -140,6 +183,14 @@
         self, permit: Permit, result: AttemptResult, now_s: float
     ) -> list[Outbound]:
         """Records the outcome of a request."""
+        if result.outcome not in _WITHOUT_EVIDENCE:
+            self._evidence.record(
+                permit.service,
+                permit.target,
+                result.instance or permit.instance,
+                result.outcome,
+                now_s,
+            )
         stats = self._stats.get(permit.target)
         if stats is not None:
             stats.on_finished()
@@ -275,7 +326,9 @@
         # The rounds in progress serve the first tickets.
         round_count = len(demand.rounds)
         ticket_id, ticket = list(demand.tickets.items())[round_count]
+        needs = needs_of(ticket, self.settings, now_s)
         probe_round = ProbeRound(service, now_s)
+        oldest_s = self._oldest_usable_s(service, demand, needs, now_s)
         targets = list(self._targets_of(service))
         self._rng.shuffle(targets)
         for target_id in targets:
@@ -284,6 +337,8 @@
                 continue
             if stats.reading is None or now_s < stats.next_probe_s:
                 continue
+            if stats.read_at_s < oldest_s:
+                continue
             self._add_candidate(probe_round, target_id, stats, now_s)
             candidate = probe_round.candidates.get(target_id)
             if candidate is not None and not (
@@ -294,16 +349,42 @@
                 del probe_round.candidates[target_id]
             if len(probe_round.candidates) >= self.settings.unprobed_choices:
                 break
-        if not probe_round.candidates:
+        best = self._selector.select(
+            probe_round.candidates.values(), needs, lambda _: True, now_s
+        )
+        if best is None:
             return False
         self._counters.increment("choice.unprobed")
-        best = min(
-            probe_round.candidates.values(),
-            key=lambda candidate: candidate.cost(),
-        )
         self._assign(ticket_id, ticket, best, probe_round, now_s)
         return True
 
+    def _oldest_usable_s(
+        self,
+        service: ServiceId,
+        demand: ServiceDemand,
+        needs: Needs,
+        now_s: float,
+    ) -> float:
+        """Returns the time of the oldest reading that a request may rely on.
+
+        A request that would be late at the slowest target needs a reading of
+        this moment, or else probes as long as the overdraft lasts.
+        """
+        if not demand.budget.may_overdraw():
+            return float("-inf")
+        slowest = max(
+            (
+                stats.reading.relative_service_time
+                for target_id in self._targets_of(service)
+                if (stats := self._stats.get(target_id)) is not None
+                and stats.reading is not None
+            ),
+            default=0.0,
+        )
+        if needs.on_time_slowdown > slowest:
+            return float("-inf")
+        return now_s - self.settings.moment_s
+
     def _widen_round(self, probe_round: ProbeRound, now_s: float) -> None:
         """Probes further targets of all tiers, near ones first."""
         probe_round.is_widened = True
@@ -327,7 +408,13 @@
         round is sent even if the budget is exhausted.
         """
         targets = self._targets_of(probe_round.service)
-        preferred, deferred = self._order_targets(probe_round, tiers, now_s)
+        ordered = self._probe_order.order(
+            targets,
+            tiers,
+            self._excluded_by_all(probe_round.service)
+            | probe_round.probed_targets,
+            now_s,
+        )
         budget = self._demands[probe_round.service].budget
         # When the budget runs short, every request gets fewer probes, rather
         # than some requests many and others none.
@@ -335,7 +422,7 @@
             self.settings.min_probe_count, round(count * budget.fill_ratio)
         )
         any_sent = False
-        for target_id in (preferred + deferred)[:count]:
+        for target_id in ordered[:count]:
             if budget.tokens < 1.0 and (any_sent or probe_round.probed_targets):
                 self._counters.increment("probes.saved")
                 break
@@ -359,36 +446,6 @@
             self._on_probes_due()
         return any_sent
 
-    def _order_targets(
-        self,
-        probe_round: ProbeRound,
-        tiers: Sequence[list[TargetId]],
-        now_s: float,
-    ) -> tuple[list[TargetId], list[TargetId]]:
-        """Returns the targets to probe: the preferred, and the likely slow."""
-        skipped = (
-            self._excluded_by_all(probe_round.service)
-            | probe_round.probed_targets
-        )
-        preferred, deferred = [], []
-        for tier in tiers:
-            fast, slow = [], []
-            for target_id in tier:
-                stats = self._stats.get(target_id)
-                if target_id in skipped:
-                    continue
-                if stats is not None and now_s < stats.next_probe_s:
-                    continue
-                if self._bounds.is_exhausted(target_id, now_s):
-                    continue
-                is_slow = self._is_likely_slow(stats, now_s)
-                (slow if is_slow else fast).append(target_id)
-            self._rng.shuffle(fast)
-            self._rng.shuffle(slow)
-            preferred += fast
-            deferred += slow
-        return preferred, deferred
-
     def _excluded_by_all(self, service: ServiceId) -> frozenset[TargetId]:
         """Returns the targets that every waiting request excludes."""
         tickets = self._demands[service].tickets.values()
@@ -402,20 +459,6 @@
                 excluded &= ticket.excluded
         return excluded or frozenset()
 
-    def _is_likely_slow(self, stats: TargetStats | None, now_s: float) -> bool:
-        """Returns whether a target is probably slow, full, cold or failing."""
-        if stats is None or stats.reading is None:
-            return False
-        reading = stats.reading
-        if reading.cold_s > now_s - stats.read_at_s:
-            return True
-        if now_s - stats.read_at_s > self.settings.max_reading_age_s:
-            return stats.failure_rate(now_s) > 0.5
-        is_full = reading.running + reading.waiting >= reading.slots
-        return (
-            is_full or reading.relative_service_time > self.settings.good_cost
-        )
-
     def _add_candidate(
         self,
         probe_round: ProbeRound,
@@ -431,7 +474,11 @@
             target,
             stats.reading,
             0,
-            stats.failure_rate(now_s),
+            max(
+                stats.failure_rate(now_s),
+                self._evidence.failure_rate(target_id, now_s),
+            ),
+            self._evidence.is_out(target_id, now_s),
         )
         self._update_candidate(candidate)
         probe_round.candidates[target_id] = candidate
@@ -471,30 +518,36 @@
     def _may_widen(self, probe_round: ProbeRound, now_s: float) -> bool:
         """Returns whether a round may be widened beyond near targets.
 
-        It may after the first answer: waiting for the others would take as
-        long as probing far targets.
+        It may once half of the targets have answered: the others would rarely
+        be better, and waiting for them takes as long as probing far targets.
         """
-        has_answer = probe_round.first_answer_s is not None
-        return (
-            has_answer
-            or not probe_round.pending_probes
-            or now_s >= self._round_deadline_s(probe_round)
-        )
+        pending_count = len(probe_round.pending_probes)
+        return 2 * pending_count <= len(
+            probe_round.probed_targets
+        ) or now_s >= self._round_deadline_s(probe_round)
 
     def _has_good_candidate(
         self, probe_round: ProbeRound, now_s: float
     ) -> bool:
+        needs = self._needs_of_round(probe_round, now_s)
         for candidate in probe_round.candidates.values():
             self._update_candidate(candidate)
-            is_good = candidate.cost() <= self.settings.good_cost
             if (
-                is_good
-                and self._is_eligible(candidate)
+                self._is_eligible(candidate)
+                and self._selector.is_good(candidate, needs)
                 and self._bounds.may_send(candidate.id, now_s)
             ):
                 return True
         return False
 
+    def _needs_of_round(self, probe_round: ProbeRound, now_s: float) -> Needs:
+        """Returns the needs of the request that a round most likely serves."""
+        demand = self._demands[probe_round.service]
+        ticket = next(iter(demand.tickets.values()), None)
+        if ticket is None:
+            return Needs()
+        return needs_of(ticket, self.settings, now_s)
+
     def _may_send_or_ask(self, candidate: Candidate, now_s: float) -> bool:
         """Returns whether the bounds of a target allow a request now.
 
@@ -541,16 +594,17 @@
         # that have no round because of ``max_rounds``.
         wanted_count = max(1, len(demand.tickets) - len(demand.rounds))
         assigned_count = 0
-        for ticket_id, ticket in list(demand.tickets.items()):
-            usable = [
-                candidate
-                for candidate in eligible
-                if candidate.id not in ticket.excluded
-                and self._has_room(candidate)
-            ]
-            usable.sort(key=lambda candidate: candidate.cost())
-            best = next(
-                (c for c in usable if self._may_send_or_ask(c, now_s)), None
+        for ticket_id, ticket in self._tickets_in_order(demand, now_s):
+            best = self._selector.select(
+                (
+                    candidate
+                    for candidate in eligible
+                    if candidate.id not in ticket.excluded
+                    and self._has_room(candidate)
+                ),
+                needs_of(ticket, self.settings, now_s),
+                functools.partial(self._may_send_or_ask, now_s=now_s),
+                now_s,
             )
             if best is None:
                 continue
@@ -564,6 +618,14 @@
             self._counters.increment("choice.no_room")
             demand.next_round_s = now_s + self.settings.retry_s
 
+    def _tickets_in_order(
+        self, demand: ServiceDemand, now_s: float
+    ) -> list[tuple[TicketId, Ticket]]:
+        tickets = list(demand.tickets.items())
+        if len(tickets) > 1:
+            tickets.sort(key=lambda item: start_order(item[1], now_s))
+        return tickets
+
     def _has_room(self, candidate: Candidate) -> bool:
         slots = candidate.reading.slots
         limit = slots * (1.0 + self.settings.max_waiting_ratio)
@@ -579,6 +641,7 @@
     ) -> None:
         del self._demands[ticket.service].tickets[ticket_id]
         del self._service_of[ticket_id]
+        slowdown = chosen.slowdown()
         chosen.occupancy += 1
         self._stats[chosen.id].on_sent(now_s)
         self._bounds.on_send(chosen.id, now_s)
@@ -591,6 +654,7 @@
             now_s + self.settings.permit_s,
             True,  # may use a new connection
             self._choice_basis(chosen, probe_round, now_s),
+            slowdown,
         )
         self._assignments.append(Assignment(ticket_id, permit))
 
@@ -602,7 +666,9 @@
         reading = chosen.reading
         return (
             f"busy {chosen.occupancy - 1} of {reading.slots}, pace"
-            f" {reading.relative_service_time:.2f}, read {age_ms:.0f} ms ago;"
+            f" {reading.relative_service_time:.2f}, read {age_ms:.0f} ms ago,"
+            f" failures {chosen.failure_rate:.2f}"
+            f"{', out' if chosen.is_out else ''};"
             f" {len(probe_round.candidates)} of"
             f" {len(probe_round.probed_targets)} answered"
         )
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from egretrock.coordination.bounds import LimitReport
-from egretrock.state.config import Target
 from egretrock.state.ids import InstanceId, ServiceId, TargetId
 
 #: Weight of one outcome in the moving average of the failure rate.
@@ -14,13 +13,6 @@
 #: probe unanswered.
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 1.0
-#: Relative slowdown of a target whose slots are all in use. It is between 0
-#: and 0.7 depending on the service; half of that is enough to decide between
-#: two targets that are otherwise equal.
-_MAX_CONTENTION = 0.35
-#: Cost of a failed attempt, in units of the usual service time: the attempt
-#: itself, and a retry that is less likely to meet the deadline.
-_FAILURE_COST = 4.0
 
 
 class LoadReading(msgspec.Struct, frozen=True):
@@ -138,45 +130,3 @@
             return 0.0
         age_s = max(0.0, now_s - self._failure_rate_updated_s)
         return self._failure_rate * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
-
-
-class Candidate(msgspec.Struct):
-    """A target that a request may be sent to, with its expected cost.
-
-    Attributes:
-        id: Target.
-        target: Configuration of the target.
-        reading: Last load reading.
-        occupancy: Requests running, queued, or sent since the reading.
-        failure_rate: Recent share of failures, from 0 to 1.
-    """
-
-    id: TargetId
-    target: Target
-    reading: LoadReading
-    occupancy: int
-    failure_rate: float = 0.0
-
-    @property
-    def free_slots(self) -> int:
-        """Number of unused slots."""
-        return max(0, self.reading.slots - self.occupancy)
-
-    def cost(self) -> float:
-        """Returns the expected completion time of one more request.
-
-        The unit is the usual service time. The factors are the relative service
-        time of the target, its queue divided by its slots, the slowdown of
-        nearly full targets, and the expected cost of failed attempts.
-        """
-        utilization = min(1.0, (self.occupancy + 1) / self.reading.slots)
-        contention = 1.0 + _MAX_CONTENTION * utilization * utilization
-        queue_length = max(0, self.occupancy + 1 - self.reading.slots)
-        queueing = 1.0 + queue_length / self.reading.slots
-        expected_attempts = 1.0 + _FAILURE_COST * self.failure_rate
-        return (
-            self.reading.relative_service_time
-            * queueing
-            * contention
-            * expected_attempts
-        )
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_rounds.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_rounds.py
@@ -5,11 +5,15 @@
 import msgspec
 
 from egretrock.coordination.base import TokenBucket
-from egretrock.coordination.probing._readings import Candidate
+from egretrock.coordination.probing._candidates import Candidate
+from egretrock.coordination.targets import RequestStake
 from egretrock.state.ids import ServiceId, TargetId, TicketId
 
 #: Size of the bucket of the probe budget, in seconds of its rate.
 _BURST_S = 1.0
+#: Probes beyond the budget that requests with little slack may send, in
+#: seconds of its rate. They are missing from the budget afterwards.
+_OVERDRAFT_S = 0.25
 
 
 class ProbeBudget:
@@ -21,6 +25,7 @@
 
     def __init__(self) -> None:
         self.fill_ratio = 1.0
+        self._overdraft = 0.0
         self._bucket: TokenBucket | None = None
 
     @property
@@ -31,21 +36,35 @@
     def refill(self, rate_per_s: float, now_s: float) -> None:
         """Adds the tokens earned since the last call; starts full."""
         size = max(1.0, rate_per_s * _BURST_S)
+        self._overdraft = rate_per_s * _OVERDRAFT_S
         if self._bucket is None:
             self._bucket = TokenBucket(now_s, size)
         self._bucket.refill(rate_per_s, size, now_s)
         self.fill_ratio = max(0.0, self.tokens) / size
 
+    def may_overdraw(self) -> bool:
+        """Returns whether a request with little slack may send a probe."""
+        return self.tokens > -self._overdraft
+
     def force_take(self) -> None:
         """Takes a token for a probe, even if that makes the bucket negative."""
         self._bucket.tokens -= 1.0
 
 
 class Ticket(msgspec.Struct):
-    """A request waiting for a target, and the targets it must not use."""
+    """A request waiting for a target.
+
+    Attributes:
+        service: Service.
+        excluded: Targets that it must not use.
+        requested_s: Time at which it began to wait.
+        stake: What the request needs; None if unknown.
+    """
 
     service: ServiceId
     excluded: frozenset[TargetId]
+    requested_s: float
+    stake: RequestStake | None = None
 
 
 class ProbeRound:
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_settings.py
@@ -31,6 +31,17 @@
             fleet. Beyond that rate a node chooses by its last readings.
         unprobed_choices: Number of targets compared in that case; with more,
             all nodes would choose the same one.
+        moment_s: Time in which the service time of a target may change. A
+            request that a slow target would make late needs a reading that
+            is no older.
+        max_hold_s: Seconds for which a request is held back from targets that
+            would answer it late, while a good one could answer in time.
+        reading_error: Relative error of the cost of a target; of targets that
+            differ by less, one with an open connection is chosen.
+        near_unread_s: Age of the last reading from which a near target is
+            probed as early as one with an open connection; below the idle
+            time after which connections are closed.
+        far_unread_s: The same for targets of other data centres.
     """
 
     near_probe_count: int = 4
@@ -47,3 +58,8 @@
     max_waiting_ratio: float = 1.0
     probes_per_target_s: float = 40.0
     unprobed_choices: int = 3
+    moment_s: float = 0.15
+    max_hold_s: float = 0.1
+    reading_error: float = 0.1
+    near_unread_s: float = 6.0
+    far_unread_s: float = 30.0
--- a/packages/egretrock-core/src/egretrock/coordination/targets/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/__init__.py
@@ -38,6 +38,7 @@
     ProbeResult,
 )
 from egretrock.coordination.targets._record import Health
+from egretrock.coordination.targets._stake import RequestStake
 from egretrock.state.config import usable_target
 
 __all__ = [
@@ -61,6 +62,7 @@
     "ProbeRequest",
     "ProbeResult",
     "Report",
+    "RequestStake",
     "Summary",
     "SummaryEntry",
     "TargetClient",
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -36,6 +36,7 @@
     chunks,
     first_chunk,
 )
+from egretrock.coordination.targets._stake import RequestStake
 from egretrock.state.config import BalancingPolicy, usable_target
 from egretrock.state.ids import (
     InstanceId,
@@ -87,6 +88,8 @@
         new_connection: Whether the request may be sent on a first connection
             to the target. Otherwise a connection to ``instance`` must be open.
         choice_reason: Reason for the choice, as text for the log.
+        expected_slowdown: Expected time to the answer relative to the usual
+            service time, failures apart.
     """
 
     permit_id: int
@@ -97,6 +100,7 @@
     expires_s: float
     new_connection: bool
     choice_reason: str = ""
+    expected_slowdown: float = 1.0
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -285,6 +289,7 @@
         excluded: frozenset[TargetId],
         deadline_s: float,
         now_s: float,
+        stake: RequestStake | None = None,
     ) -> list[Outbound]:
         """Asks for a permit for one waiting request.
 
@@ -296,7 +301,9 @@
                 earlier attempts.
             deadline_s: Time from which the permit is not needed any more.
             now_s: Time.
+            stake: Ignored; the home of the service issues the permits.
         """
+        del stake
         client = self._service(service)
         client.tickets[ticket] = _Ticket(organisation, excluded, deadline_s)
         self._tickets[ticket] = service
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -157,6 +157,13 @@
         self.peer = Peer(settings.node, incarnation)
         self.timers = TimerService(self.started_s, self.errors.report)
         self.last_tick_s = self.started_s
+        self.pool = TargetPool(
+            reactor,
+            clock,
+            self.counters,
+            platform.target_protocol,
+            TargetPoolSettings(max_idle_s=8.0),
+        )
         self._make_parts()
         self._make_request_path()
         self._make_endpoints_and_reader()
@@ -222,6 +229,7 @@
             self._on_probes_due,
             self.bounds,
             self.publication.warm_up_rate_of,
+            connections=self.pool,
         )
         self.queue = FairQueue(
             self.publication.weight_of, self._queue_limit_of, counters
@@ -245,13 +253,6 @@
     def _make_request_path(self) -> None:
         settings, counters = self.settings, self.counters
         protocol = self._platform.target_protocol
-        self.pool = TargetPool(
-            self._reactor,
-            self.clock,
-            counters,
-            protocol,
-            TargetPoolSettings(max_idle_s=8.0),
-        )
         self.pipeline = RequestPipeline(
             CoordinationParts(
                 fleet=self.publication,
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -19,6 +19,7 @@
     AttemptOutcome,
     AttemptResult,
     Permit,
+    RequestStake,
 )
 from egretrock.state.config import (
     Access,
@@ -85,6 +86,7 @@
     RequestSnapshot,
     Stage,
 )
+from egretrock_node.protocol.requests._work_times import WorkTimes
 
 _log = logbook.Logger("egretrock.requests")
 _MAX_IDEMPOTENCY_KEY_BYTES = 255
@@ -176,6 +178,7 @@
         self._instances: dict[TargetId, InstanceId] = {}
         self._suspicions = CrashSuspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
+        self._work_times = WorkTimes()
         self._refuses_new = False
         self._refuses_from_s = self._serves_until_s = float("inf")
         self._is_polling_permits = False
@@ -553,10 +556,22 @@
                 exchange.excluded,
                 exchange.deadline_s,
                 now_s,
+                self._stake_of(exchange),
             )
         )
         self._poll_permits(now_s)
 
+    def _stake_of(self, exchange: Exchange) -> RequestStake:
+        """Returns what the choice of a target takes into account."""
+        match = exchange.match
+        return RequestStake(
+            is_repeatable=exchange.is_idempotent and exchange.body.replayable,
+            objective_s=exchange.objective_s,
+            deadline_s=exchange.deadline_s,
+            work_s=self._work_times.expected_s(match.id),
+            priority=match.route.priority,
+        )
+
     def _poll_permits(self, now_s: float) -> None:
         """Assigns the permits that have arrived to waiting requests.
 
@@ -745,6 +760,7 @@
             del self._instances[target]
         for service in self._slot_time_s.keys() - config.services.keys():
             del self._slot_time_s[service]
+        self._work_times.retain(config.routes.keys())
 
     # Events of attempts and exchanges.
 
@@ -1086,6 +1102,12 @@
     ) -> None:
         self._send(self._parts.permits.finish(attempt.permit, result, now_s))
         exchange.slot_time_s += result.latency_s
+        if result.outcome is AttemptOutcome.OK:
+            self._work_times.on_answer(
+                exchange.match.id,
+                result.latency_s,
+                attempt.permit.expected_slowdown,
+            )
 
     def _new_ticket(self, exchange: Exchange) -> TicketId:
         ticket = TicketId(next(self._tickets))
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -21,7 +21,12 @@
     RetryDecision,
     RetryState,
 )
-from egretrock.coordination.targets import Assignment, AttemptResult, Permit
+from egretrock.coordination.targets import (
+    Assignment,
+    AttemptResult,
+    Permit,
+    RequestStake,
+)
 from egretrock.state.config import PublishedConfig
 from egretrock.state.ids import (
     AttemptId,
@@ -126,6 +131,7 @@
         excluded: frozenset[TargetId],
         deadline_s: float,
         now_s: float,
+        stake: RequestStake | None = None,
     ) -> list[Outbound]:
         """Requests a permit for a waiting request."""
         ...
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -91,6 +91,7 @@
         self._fleet = fleet
         self.is_blocked = False
         self.pending = {}
+        self.stakes = []
         self.results = []
         self.may_dispatch = Mock(return_value=True)
         self.on_connection_lost = Mock(return_value=[])
@@ -98,8 +99,16 @@
         self.on_limit_reported = Mock(return_value=[])
 
     def request(
-        self, ticket, service, organisation, excluded, deadline_s, now_s
+        self,
+        ticket,
+        service,
+        organisation,
+        excluded,
+        deadline_s,
+        now_s,
+        stake=None,
     ):
+        self.stakes.append(stake)
         self.pending[ticket] = (service, excluded)
         return []
 
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -373,12 +373,7 @@
     ) -> TargetConnection | None:
         """Takes the most recently used connection, unless it idled too long."""
         connections = self._idle.get(address)
-        settings = self.settings
-        idle_limit_s = (
-            settings.at_most_once_idle_s
-            if at_most_once
-            else settings.max_idle_s
-        )
+        idle_limit_s = self._idle_limit_s(at_most_once)
         while connections:
             connection = connections[-1]
             idle_s = self.now() - connection.answered_s
@@ -397,6 +392,24 @@
                 self.observer.on_connection_lost(address)
         return None
 
+    def has_idle_connection(
+        self, address: str, at_most_once: bool = False
+    ) -> bool:
+        """Returns whether an attempt would find an idle connection.
+
+        Args:
+            address: ``"ip:port"`` of the target.
+            at_most_once: Whether the request must run at most once.
+        """
+        connections = self._idle.get(address)
+        if not connections:
+            return False
+        connection = connections[-1]
+        idle_s = self.now() - connection.answered_s
+        return not connection.is_unusable and idle_s <= min(
+            self._idle_limit_s(at_most_once), connection.idle_limit_s
+        )
+
     def connect(
         self,
         address: str,
@@ -413,6 +426,11 @@
             timeout=self.settings.connect_timeout_s,
         )
 
+    def _idle_limit_s(self, at_most_once: bool) -> float:
+        if at_most_once:
+            return self.settings.at_most_once_idle_s
+        return self.settings.max_idle_s
+
     def on_opened(self, connection: TargetConnection) -> None:
         """Registers a connection that was made."""
         self.counters.increment("target_connections.opened")
