Hold requests back from slow targets only, not from a full service

Cause: in a load pattern at saturation urgent requests waited for a free slot that no round could find, and a request that was turned away counted as lost. Change: the choice holds back only while a probed target has a free slot; losses are told apart from refusals; waiting requests keep their order.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/_candidates.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_candidates.py
@@ -24,7 +24,10 @@
         target: Configuration of the target.
         reading: Last load reading.
         occupancy: Requests running, queued, or sent since the reading.
-        failure_rate: Recent share of failures, from 0 to 1.
+        failure_rate: Recent share of failed attempts, from 0 to 1.
+        loss_rate: Recent share of attempts whose answer was lost or that the
+            target failed, from 0 to 1; a request that was turned away is not
+            among them.
         is_out: Whether the target is taken out of service for failures.
     """
 
@@ -33,6 +36,7 @@
     reading: LoadReading
     occupancy: int
     failure_rate: float = 0.0
+    loss_rate: float = 0.0
     is_out: bool = False
 
     @property
@@ -53,11 +57,13 @@
         queueing = 1.0 + queue_length / self.reading.slots
         return self.reading.relative_service_time * queueing * contention
 
-    def cost(self, failure_cost: float = RETRIED_FAILURE_COST) -> float:
+    def cost(self, loss_cost: float = RETRIED_FAILURE_COST) -> float:
         """Returns the expected completion time with that of failed attempts.
 
         Args:
-            failure_cost: Cost of a failed attempt, in units of the usual
-                service time.
+            loss_cost: Cost of an attempt whose answer is lost, in units of
+                the usual service time; at least that of any other failure.
         """
-        return self.slowdown() * (1.0 + failure_cost * self.failure_rate)
+        failures = RETRIED_FAILURE_COST * self.failure_rate
+        losses = (loss_cost - RETRIED_FAILURE_COST) * self.loss_rate
+        return self.slowdown() * (1.0 + failures + losses)
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -12,11 +12,7 @@
     Unbounded,
 )
 from egretrock.coordination.probing._candidates import Candidate
-from egretrock.coordination.probing._needs import (
-    Needs,
-    needs_of,
-    start_order,
-)
+from egretrock.coordination.probing._needs import Needs, needs_of
 from egretrock.coordination.probing._ports import (
     IdleConnections,
     NoConnections,
@@ -37,9 +33,9 @@
 from egretrock.coordination.probing._selection import TargetSelector
 from egretrock.coordination.probing._settings import ChoiceSettings
 from egretrock.coordination.probing._subsets import TargetSubsets
+from egretrock.coordination.probing._target_book import TargetBook
 from egretrock.coordination.targets import (
     Assignment,
-    AttemptOutcome,
     AttemptResult,
     Permit,
     RequestStake,
@@ -56,26 +52,6 @@
 #: centre that is enabled.
 UsableTargets = Callable[[ServiceId], Mapping[TargetId, Target]]
 
-#: Outcomes that raise the failure rate of a target. ``CONNECT_FAILED`` (no
-#: connection was made) does not; it counts as an unanswered probe.
-_FAILURES = frozenset(
-    {
-        AttemptOutcome.ERROR,
-        AttemptOutcome.LOST,
-        AttemptOutcome.SHED,
-        AttemptOutcome.TIMEOUT,
-    }
-)
-
-#: Outcomes that say nothing about the target.
-_WITHOUT_EVIDENCE = frozenset(
-    {
-        AttemptOutcome.CANCELLED,
-        AttemptOutcome.UNUSED,
-        AttemptOutcome.UNUSABLE,
-    }
-)
-
 _DEFAULTS = ChoiceSettings()
 
 
@@ -130,19 +106,19 @@
         self._counters = counters or NullCounters()
         self._demands: dict[ServiceId, ServiceDemand] = {}
         self._service_of: dict[TicketId, ServiceId] = {}
-        self._stats: dict[TargetId, TargetStats] = {}
-        self._evidence = evidence or NoEvidence()
+        evidence = evidence or NoEvidence()
         connections = connections or NoConnections()
+        self._book = TargetBook(evidence, settings, warm_up_rate_of)
         self._probe_order = ProbeOrder(
-            self._stats,
+            self._book.stats,
             settings,
             self._bounds,
-            self._evidence,
+            evidence,
             connections,
             rng,
         )
         self._selector = TargetSelector(
-            settings, self._evidence, connections, self._counters
+            settings, evidence, connections, self._counters
         )
         self._pending_probes: dict[int, tuple[ProbeRound, float]] = {}
         self._id_sequence = itertools.count(1)
@@ -183,23 +159,7 @@
         self, permit: Permit, result: AttemptResult, now_s: float
     ) -> list[Outbound]:
         """Records the outcome of a request."""
-        if result.outcome not in _WITHOUT_EVIDENCE:
-            self._evidence.record(
-                permit.service,
-                permit.target,
-                result.instance or permit.instance,
-                result.outcome,
-                now_s,
-            )
-        stats = self._stats.get(permit.target)
-        if stats is not None:
-            stats.on_finished()
-        if stats is None or result.outcome is AttemptOutcome.UNUSED:
-            return []
-        if result.outcome is AttemptOutcome.CONNECT_FAILED:
-            stats.on_no_answer(now_s)
-        if result.outcome is not AttemptOutcome.CANCELLED:
-            stats.on_outcome(result.outcome in _FAILURES, now_s)
+        self._book.on_finished(permit, result, now_s)
         return []
 
     def cancel(self, ticket: TicketId, now_s: float) -> list[Outbound]:
@@ -249,7 +209,7 @@
         probe_round, sent_s = self._pending_probes.pop(
             probe.number, (None, now_s)
         )
-        stats = self._stats.setdefault(probe.target, TargetStats())
+        stats = self._book.stats.setdefault(probe.target, TargetStats())
         if reading is None:
             stats.on_no_answer(now_s)
             self._counters.increment("probes.failed")
@@ -262,7 +222,7 @@
         if reading is not None:
             if probe_round.first_answer_s is None:
                 probe_round.first_answer_s = now_s
-            self._add_candidate(probe_round, probe.target, stats, now_s)
+            self._add_candidate(probe_round, probe.target, now_s)
         self._advance(probe_round, now_s)
 
     def _report_bounds(
@@ -332,18 +292,18 @@
         targets = list(self._targets_of(service))
         self._rng.shuffle(targets)
         for target_id in targets:
-            stats = self._stats.get(target_id)
+            stats = self._book.stats.get(target_id)
             if target_id in ticket.excluded or stats is None:
                 continue
             if stats.reading is None or now_s < stats.next_probe_s:
                 continue
             if stats.read_at_s < oldest_s:
                 continue
-            self._add_candidate(probe_round, target_id, stats, now_s)
+            self._add_candidate(probe_round, target_id, now_s)
             candidate = probe_round.candidates.get(target_id)
             if candidate is not None and not (
-                self._is_eligible(candidate)
-                and self._has_room(candidate)
+                self._book.is_eligible(candidate)
+                and self._book.has_room(candidate)
                 and self._may_send_or_ask(candidate, now_s)
             ):
                 del probe_round.candidates[target_id]
@@ -372,15 +332,7 @@
         """
         if not demand.budget.may_overdraw():
             return float("-inf")
-        slowest = max(
-            (
-                stats.reading.relative_service_time
-                for target_id in self._targets_of(service)
-                if (stats := self._stats.get(target_id)) is not None
-                and stats.reading is not None
-            ),
-            default=0.0,
-        )
+        slowest = self._book.slowest_service_time(self._targets_of(service))
         if needs.on_time_slowdown > slowest:
             return float("-inf")
         return now_s - self.settings.moment_s
@@ -463,32 +415,13 @@
         self,
         probe_round: ProbeRound,
         target_id: TargetId,
-        stats: TargetStats,
         now_s: float,
     ) -> None:
         target = self._targets_of(probe_round.service).get(target_id)
         if target is None:
             return
-        candidate = Candidate(
-            target_id,
-            target,
-            stats.reading,
-            0,
-            max(
-                stats.failure_rate(now_s),
-                self._evidence.failure_rate(target_id, now_s),
-            ),
-            self._evidence.is_out(target_id, now_s),
-        )
-        self._update_candidate(candidate)
-        probe_round.candidates[target_id] = candidate
-
-    def _update_candidate(self, candidate: Candidate) -> None:
-        """Applies the latest reading, which may come from another round."""
-        stats = self._stats[candidate.id]
-        reading = candidate.reading = stats.reading
-        candidate.occupancy = (
-            reading.running + reading.waiting + stats.unreported_count()
+        probe_round.candidates[target_id] = self._book.candidate(
+            target_id, target, now_s
         )
 
     def _round_deadline_s(self, probe_round: ProbeRound) -> float:
@@ -531,9 +464,9 @@
     ) -> bool:
         needs = self._needs_of_round(probe_round, now_s)
         for candidate in probe_round.candidates.values():
-            self._update_candidate(candidate)
+            self._book.update(candidate)
             if (
-                self._is_eligible(candidate)
+                self._book.is_eligible(candidate)
                 and self._selector.is_good(candidate, needs)
                 and self._bounds.may_send(candidate.id, now_s)
             ):
@@ -558,49 +491,29 @@
         self._bounds.want(candidate.id, now_s)
         return False
 
-    def _is_eligible(self, candidate: Candidate) -> bool:
-        """Returns whether a target is warm and able to run requests."""
-        return self._is_serving(candidate) and candidate.reading.cold_s <= 0
-
-    def _is_serving(self, candidate: Candidate) -> bool:
-        reading = candidate.reading
-        if not reading.healthy or reading.slots < 1:
-            return False
-        instance = reading.instance
-        return instance is None or instance == candidate.id
-
-    def _eligible_candidates(self, probe_round: ProbeRound) -> list[Candidate]:
-        """Returns the warm targets, or cold ones if no target is warm."""
-        serving = [
-            candidate
-            for candidate in probe_round.candidates.values()
-            if self._is_serving(candidate)
-        ]
-        warm = [c for c in serving if c.reading.cold_s <= 0]
-        if warm or self._warm_up_rate_of(probe_round.service) is None:
-            return warm
-        # A cold target is slow, so it gets no queue.
-        return [c for c in serving if c.free_slots]
-
     def _finish_round(self, probe_round: ProbeRound, now_s: float) -> None:
         """Assigns the candidates of a round to waiting requests."""
         probe_round.is_finished = True
         demand = self._demands[probe_round.service]
         demand.rounds.remove(probe_round)
         for candidate in probe_round.candidates.values():
-            self._update_candidate(candidate)
-        eligible = self._eligible_candidates(probe_round)
+            self._book.update(candidate)
+        eligible = self._book.eligible(
+            probe_round.service, probe_round.candidates.values()
+        )
         # Each round serves one request. The last one also serves the requests
         # that have no round because of ``max_rounds``.
         wanted_count = max(1, len(demand.tickets) - len(demand.rounds))
         assigned_count = 0
-        for ticket_id, ticket in self._tickets_in_order(demand, now_s):
+        for ticket_id, ticket in list(demand.tickets.items()):
+            if assigned_count >= wanted_count:
+                break
             best = self._selector.select(
                 (
                     candidate
                     for candidate in eligible
                     if candidate.id not in ticket.excluded
-                    and self._has_room(candidate)
+                    and self._book.has_room(candidate)
                 ),
                 needs_of(ticket, self.settings, now_s),
                 functools.partial(self._may_send_or_ask, now_s=now_s),
@@ -608,9 +521,7 @@
             )
             if best is None:
                 continue
-            if assigned_count and (
-                assigned_count >= wanted_count or not best.free_slots
-            ):
+            if assigned_count and not best.free_slots:
                 break
             self._assign(ticket_id, ticket, best, probe_round, now_s)
             assigned_count += 1
@@ -618,19 +529,6 @@
             self._counters.increment("choice.no_room")
             demand.next_round_s = now_s + self.settings.retry_s
 
-    def _tickets_in_order(
-        self, demand: ServiceDemand, now_s: float
-    ) -> list[tuple[TicketId, Ticket]]:
-        tickets = list(demand.tickets.items())
-        if len(tickets) > 1:
-            tickets.sort(key=lambda item: start_order(item[1], now_s))
-        return tickets
-
-    def _has_room(self, candidate: Candidate) -> bool:
-        slots = candidate.reading.slots
-        limit = slots * (1.0 + self.settings.max_waiting_ratio)
-        return candidate.occupancy + 1 <= limit
-
     def _assign(
         self,
         ticket_id: TicketId,
@@ -643,7 +541,7 @@
         del self._service_of[ticket_id]
         slowdown = chosen.slowdown()
         chosen.occupancy += 1
-        self._stats[chosen.id].on_sent(now_s)
+        self._book.stats[chosen.id].on_sent(now_s)
         self._bounds.on_send(chosen.id, now_s)
         permit = Permit(
             next(self._id_sequence),
@@ -662,7 +560,7 @@
         self, chosen: Candidate, probe_round: ProbeRound, now_s: float
     ) -> str:
         """Returns the readings that the choice is based on, for the log."""
-        age_ms = (now_s - self._stats[chosen.id].read_at_s) * 1000
+        age_ms = (now_s - self._book.stats[chosen.id].read_at_s) * 1000
         reading = chosen.reading
         return (
             f"busy {chosen.occupancy - 1} of {reading.slots}, pace"
@@ -685,5 +583,4 @@
             kept.update(self._targets_of(service))
             for probe_round in demand.rounds:
                 kept.update(probe_round.candidates)
-        for target_id in self._stats.keys() - kept:
-            del self._stats[target_id]
+        self._book.retain(kept)
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
@@ -59,6 +59,25 @@
     timeout_s: float
 
 
+class _DecayingRate:
+    """Moving average of outcomes that decays with time."""
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._updated_s = 0.0
+
+    def add(self, is_counted: bool, now_s: float) -> None:
+        previous = self.value(now_s)
+        self._rate = previous + _FAILURE_WEIGHT * (is_counted - previous)
+        self._updated_s = now_s
+
+    def value(self, now_s: float) -> float:
+        if self._rate == 0.0:
+            return 0.0
+        age_s = max(0.0, now_s - self._updated_s)
+        return self._rate * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
+
+
 class TargetStats:
     """Statistics of one target that a node keeps between probes.
 
@@ -73,8 +92,8 @@
         self.read_at_s = float("-inf")
         self.next_probe_s = float("-inf")
         self._backoff_s = _MIN_BACKOFF_S
-        self._failure_rate = 0.0
-        self._failure_rate_updated_s = 0.0
+        self._failures = _DecayingRate()
+        self._losses = _DecayingRate()
         self._unreported_sent_s: list[float] = []
 
     def on_reading(
@@ -116,17 +135,21 @@
         """
         return len(self._unreported_sent_s)
 
-    def on_outcome(self, failed: bool, now_s: float) -> None:
-        """Updates the failure rate with the outcome of a request."""
-        previous_rate = self.failure_rate(now_s)
-        self._failure_rate = previous_rate + _FAILURE_WEIGHT * (
-            float(failed) - previous_rate
-        )
-        self._failure_rate_updated_s = now_s
+    def on_outcome(self, failed: bool, lost: bool, now_s: float) -> None:
+        """Updates the failure rates with the outcome of a request.
+
+        Args:
+            failed: Whether the attempt failed.
+            lost: Whether it failed after it may have run.
+            now_s: Time.
+        """
+        self._failures.add(failed, now_s)
+        self._losses.add(lost, now_s)
 
     def failure_rate(self, now_s: float) -> float:
-        """Returns the decaying average of failures, from 0 to 1."""
-        if self._failure_rate == 0.0:
-            return 0.0
-        age_s = max(0.0, now_s - self._failure_rate_updated_s)
-        return self._failure_rate * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
+        """Returns the recent share of failures, from 0 to 1."""
+        return self._failures.value(now_s)
+
+    def loss_rate(self, now_s: float) -> float:
+        """Returns the recent share of failures that may have run."""
+        return self._losses.value(now_s)
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_selection.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_selection.py
@@ -38,8 +38,8 @@
         """Returns whether to stop looking for a better target."""
         return (
             not candidate.is_out
-            and candidate.cost(needs.failure_cost) <= self._settings.good_cost
-            and candidate.slowdown() <= needs.max_slowdown
+            and candidate.cost(needs.loss_cost) <= self._settings.good_cost
+            and candidate.slowdown() <= needs.in_time_slowdown
         )
 
     def select(
@@ -72,7 +72,11 @@
                     return candidate
         if not in_service and not needs.is_held:
             in_service = out
-        usable = [c for c in in_service if c.slowdown() <= needs.max_slowdown]
+        max_slowdown = needs.in_time_slowdown
+        if needs.is_worth_holding and any(c.free_slots for c in in_service):
+            # Where all are full, another round finds no better one.
+            max_slowdown = min(max_slowdown, needs.on_time_slowdown)
+        usable = [c for c in in_service if c.slowdown() <= max_slowdown]
         if in_service and not usable:
             self._counters.increment("choice.held_back")
         return next(filter(may_send, self._rank(usable, needs)), None)
@@ -88,7 +92,7 @@
         """
         if len(candidates) < 2:
             return candidates
-        costs = {c.id: c.cost(needs.failure_cost) for c in candidates}
+        costs = {c.id: c.cost(needs.loss_cost) for c in candidates}
         limit = min(costs.values()) * (1.0 + self._settings.reading_error)
 
         def preference(
