Let nodes save a part of their retries for a few seconds

Cause: a node of a fleet of 43 could hold 1.2 retries, however many requests it had served before. Change: half of the retries that requests earn may be kept for half a window. The sum over the fleet stays within 0.9 of the ratio and 0.9 of the slack.

--- a/packages/egretrock-core/src/egretrock/coordination/retries/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/retries/__init__.py
@@ -6,6 +6,7 @@
     RetryDecision,
     RetryPolicy,
     RetryRefusal,
+    RetrySavings,
     RetryState,
 )
 from egretrock.coordination.retries._quarantine import (
@@ -32,6 +33,7 @@
     "RetryDecision",
     "RetryPolicy",
     "RetryRefusal",
+    "RetrySavings",
     "RetryState",
     "fingerprint_of",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/retries/_policy.py
+++ b/packages/egretrock-core/src/egretrock/coordination/retries/_policy.py
@@ -1,5 +1,6 @@
 """Decides whether a failed attempt may be retried."""
 
+import collections
 import enum
 import random
 from collections.abc import Callable
@@ -20,6 +21,8 @@
 #: Minimum time to the deadline for a retry; an attempt that cannot finish in
 #: time only adds load.
 MIN_REMAINING_S = 0.01
+#: Length of the intervals in which first attempts are counted for savings.
+_COUNT_INTERVAL_S = 0.5
 
 
 class RetryRefusal(enum.Enum):
@@ -87,6 +90,55 @@
     excluded: frozenset[TargetId] = frozenset()
 
 
+class RetrySavings(msgspec.Struct, frozen=True):
+    """Retries that a node may save from its first attempts.
+
+    Attributes:
+        ratio: Retries per first attempt, beside the ratio of the profile.
+        kept_s: Seconds for which an unused one is kept.
+    """
+
+    ratio: float
+    kept_s: float
+
+
+class _SavedTokens:
+    """Tokens that first attempts earn and that expire if not used.
+
+    At any time at most as many are there as the first attempts of the last
+    ``kept_s`` seconds have earned.
+    """
+
+    def __init__(self, savings: RetrySavings) -> None:
+        self._savings = savings
+        self._tokens = 0.0
+        self._counts: collections.deque[list[float]] = collections.deque()
+        self._count = 0
+
+    def on_first_attempt(self, now_s: float) -> None:
+        if not self._counts or now_s - self._counts[-1][0] >= _COUNT_INTERVAL_S:
+            self._counts.append([now_s, 0])
+        self._counts[-1][1] += 1
+        self._count += 1
+        self._tokens += self._savings.ratio
+        self._expire(now_s)
+
+    def tokens(self, now_s: float) -> float:
+        """Returns how many may be spent now."""
+        self._expire(now_s)
+        return self._tokens
+
+    def spend(self, count: float) -> None:
+        """Takes tokens off."""
+        self._tokens -= count
+
+    def _expire(self, now_s: float) -> None:
+        oldest_s = now_s - self._savings.kept_s
+        while self._counts and self._counts[0][0] < oldest_s:
+            self._count -= self._counts.popleft()[1]
+        self._tokens = min(self._tokens, self._savings.ratio * self._count)
+
+
 class RetryBudget:
     """Token bucket for the retries of one node to one service.
 
@@ -104,6 +156,7 @@
         initial_tokens: Retries available at the start.
         phase: Fraction from 0 to 1 for the budget of a fleet; None to round a
             bucket of less than one token up to one.
+        savings: Retries saved beside those of the profile; None for none.
 
     Example:
         >>> budget = RetryBudget(0.0)
@@ -119,7 +172,9 @@
         now_s: float,
         initial_tokens: float = 0.0,
         phase: float | None = None,
+        savings: RetrySavings | None = None,
     ) -> None:
+        self._saved = _SavedTokens(savings or RetrySavings(0.0, 0.0))
         self._tokens = initial_tokens
         self._updated_s = now_s
         self._spent_fraction = phase
@@ -129,19 +184,24 @@
         """Counts the first attempt of a call."""
         self._refill(profile, self._saved_limit(profile), now_s)
         self._earned_s = now_s
+        self._saved.on_first_attempt(now_s)
         limit = self._limit(profile, now_s)
         self._tokens = min(limit, self._tokens + profile.budget_ratio)
 
     def take(self, profile: RetryProfile, now_s: float) -> bool:
         """Takes a token for one retry; returns False if there is none."""
         self._refill(profile, self._limit(profile, now_s), now_s)
-        if self._tokens >= 1.0:
-            self._tokens -= 1.0
+        saved = self._saved.tokens(now_s)
+        if self._tokens + saved >= 1.0:
+            from_saved = min(1.0, saved)
+            self._saved.spend(from_saved)
+            self._tokens -= 1.0 - from_saved
             return True
         if self._spent_fraction is None or self._saved_limit(profile) >= 1.0:
             return False
-        self._spent_fraction += self._tokens
+        self._spent_fraction += self._tokens + saved
         self._tokens = 0.0
+        self._saved.spend(saved)
         if self._spent_fraction < 1.0:
             return False
         self._spent_fraction -= 1.0
@@ -185,6 +245,8 @@
             the whole fleet; None if each node has a budget of its own. Shares
             start with a full bucket, so the bound over the fleet must allow
             for one bucket per restart.
+        savings: Retries that the node saves from its first attempts, beside
+            those of the profile; None for none.
     """
 
     def __init__(
@@ -193,7 +255,9 @@
         has_evidence: Callable[[Fingerprint, float], bool],
         counters: Counters | None = None,
         rng: random.Random | None = None,
+        savings: RetrySavings | None = None,
     ) -> None:
+        self._savings = savings
         self._profile_of = profile_of
         self._rng = rng
         self._has_evidence = has_evidence
@@ -250,11 +314,14 @@
     def _budget(self, service: ServiceId, now_s: float) -> RetryBudget:
         budget = self._budgets.get(service)
         if budget is None:
-            budget = RetryBudget(now_s)
+            budget = RetryBudget(now_s, savings=self._savings)
             if self._rng is not None:
                 min_per_s = self._profile_of(service).min_per_s
                 budget = RetryBudget(
-                    now_s, BUCKET_SIZE_S * min_per_s, self._rng.random()
+                    now_s,
+                    BUCKET_SIZE_S * min_per_s,
+                    self._rng.random(),
+                    self._savings,
                 )
             self._budgets[service] = budget
         return budget
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -40,6 +40,7 @@
     RETRY_MESSAGES,
     CrashQuarantine,
     RetryPolicy,
+    RetrySavings,
 )
 from egretrock.state.config import (
     RetryProfile,
@@ -242,6 +243,9 @@
             self.quarantine.has_evidence,
             counters,
             rng=rng,
+            savings=RetrySavings(
+                0.3 * settings.retries.ratio, settings.retries.window_s / 2
+            ),
         )
         self.router = MessageRouter(counters, self.errors.report)
         self.router.register(GOSSIP_MESSAGES, self.membership)
@@ -490,7 +494,10 @@
         In one window the fleet may spend the retries that it has saved, those
         that it earns at the minimum rate and, after a restart, the initial
         budgets of new processes. Each of the three is at most 0.3 of the slack,
-        so 0.9 of it in all. The retries earned by requests come on top.
+        so 0.9 of it in all. The retries earned by requests come on top: 0.3 of
+        the ratio for those of the window, and 0.3 for those of the window and
+        the half window before it, which are at most twice the requests of the
+        busier of two successive windows. That is 0.9 of the ratio in all.
         """
         del service
         budget = self.settings.retries
@@ -498,7 +505,7 @@
             self.membership.serving_count(), self.settings.quota.assumed_nodes
         )
         return RetryProfile(
-            budget_ratio=0.7 * budget.ratio,
+            budget_ratio=0.3 * budget.ratio,
             min_per_s=0.3 * budget.slack / budget.window_s / nodes,
             max_tries=5,
         )
