--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -360,7 +360,7 @@
         round is sent even if the budget is exhausted.
         """
         targets = self._targets_of(probe_round.service)
-        ordered = self._probe_order.order(
+        ordered, open_count = self._probe_order.order(
             targets,
             tiers,
             self._excluded_by_all(probe_round.service)
@@ -370,9 +370,11 @@
         budget = self._demands[probe_round.service].budget
         # When the budget runs short, every request gets fewer probes, rather
         # than some requests many and others none.
-        count = max(
-            self.settings.min_probe_count, round(count * budget.fill_ratio)
-        )
+        min_count = self.settings.min_probe_count
+        count = max(min_count, round(count * budget.fill_ratio))
+        if not probe_round.is_widened and open_count >= min_count:
+            # No connection is opened just to compare one target more.
+            count = min(count, open_count)
         any_sent = False
         for target_id in ordered[:count]:
             if budget.tokens < 1.0 and (any_sent or probe_round.probed_targets):
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_probe_order.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_probe_order.py
@@ -13,17 +13,21 @@
 from egretrock.state.config import Target
 from egretrock.state.ids import TargetId
 
-#: Share of the rounds that probe targets out of service for failures first, so
-#: that one request can try them.
+#: Share of the rounds that probe a target out of service for failures first, so
+#: that one request can try it.
 _OUT_ROUND_SHARE = 0.125
+#: Share of the rounds that probe a far target without an open connection before
+#: those with one, so that the nodes together use all targets of a data centre
+#: without nodes.
+_EXPLORING_SHARE = 0.125
 
 
 class ProbeOrder:
     """Orders targets by tier, and within a tier by what a probe costs.
 
-    Targets to which a connection is open come first. Those without a recent
-    reading are their equals, so that the node goes on using all targets of
-    its subset, also one that has just joined.
+    Targets to which a connection is open come first. Near targets without a
+    recent reading are their equals, so that the node goes on using all near
+    targets of its subset, also one that has just joined.
 
     Args:
         stats: Statistics of the targets.
@@ -56,7 +60,7 @@
         tiers: Sequence[list[TargetId]],
         skipped: frozenset[TargetId],
         now_s: float,
-    ) -> list[TargetId]:
+    ) -> tuple[list[TargetId], int]:
         """Returns the targets in the order of probing.
 
         Those that are likely slow or out of service come last, whatever their
@@ -67,12 +71,15 @@
             tiers: Targets in order of preference, the near ones first.
             skipped: Targets not to probe.
             now_s: Time.
+
+        Returns:
+            The targets, and how many of the first ones need no new connection.
         """
         preferred: list[TargetId] = []
         deferred: list[TargetId] = []
         out: list[TargetId] = []
-        unread_s = self._settings.near_unread_s
-        for tier in tiers:
+        open_count = 0
+        for index, tier in enumerate(tiers):
             cheap, other, slow = [], [], []
             for target_id in tier:
                 stats = self._stats.get(target_id)
@@ -85,24 +92,31 @@
                 elif self._is_likely_slow(stats, now_s):
                     slow.append(target_id)
                 elif (
-                    stats is None
-                    or now_s - stats.read_at_s >= unread_s
-                    or self._connections.has_idle_connection(
-                        targets[target_id].address
-                    )
+                    index == 0 and self._is_unread(stats, now_s)
+                ) or self._connections.has_idle_connection(
+                    targets[target_id].address
                 ):
                     cheap.append(target_id)
                 else:
                     other.append(target_id)
             for group in (cheap, other, slow):
                 self._rng.shuffle(group)
+            if index and other and self._rng.random() < _EXPLORING_SHARE:
+                cheap.insert(0, other.pop())
+            if not index:
+                open_count = len(cheap)
             preferred += cheap + other
             deferred += slow
-            unread_s = self._settings.far_unread_s
         self._rng.shuffle(out)
         if out and self._rng.random() < _OUT_ROUND_SHARE:
-            return out[:1] + preferred + deferred + out[1:]
-        return preferred + deferred + out
+            ordered = out[:1] + preferred + deferred + out[1:]
+            return ordered, open_count + 1
+        return preferred + deferred + out, open_count
+
+    def _is_unread(self, stats: TargetStats | None, now_s: float) -> bool:
+        return (
+            stats is None or now_s - stats.read_at_s >= self._settings.unread_s
+        )
 
     def _is_barred(
         self, target_id: TargetId, stats: TargetStats | None, now_s: float
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_settings.py
@@ -38,10 +38,9 @@
             would answer it late, while a good one could answer in time.
         reading_error: Relative error of the cost of a target; of targets that
             differ by less, one with an open connection is chosen.
-        near_unread_s: Age of the last reading from which a near target is
-            probed as early as one with an open connection; below the idle
-            time after which connections are closed.
-        far_unread_s: The same for targets of other data centres.
+        unread_s: Age of the last reading from which a near target is probed
+            as early as one with an open connection; below the idle time after
+            which connections are closed.
     """
 
     near_probe_count: int = 4
@@ -61,5 +60,4 @@
     moment_s: float = 0.15
     max_hold_s: float = 0.1
     reading_error: float = 0.1
-    near_unread_s: float = 6.0
-    far_unread_s: float = 30.0
+    unread_s: float = 6.0
