Probe as many targets as before where a service is full

Cause: at saturation a node compared only the targets with an idle connection, which had just turned a request away.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -372,9 +372,10 @@
         # than some requests many and others none.
         min_count = self.settings.min_probe_count
         count = max(min_count, round(count * budget.fill_ratio))
-        if not probe_round.is_widened and open_count >= min_count:
-            # No connection is opened just to compare one target more.
-            count = min(count, open_count)
+        if not probe_round.is_widened and 2 * open_count >= len(tiers[0]):
+            # In a service that is not full, no connection is opened just to
+            # compare one target more.
+            count = min(count, max(min_count, open_count))
         any_sent = False
         for target_id in ordered[:count]:
             if budget.tokens < 1.0 and (any_sent or probe_round.probed_targets):
