Send second attempts before first ones that wait, and name the connection in the log

A second attempt has less time left than requests that wait for their first. The log of a choice says whether the target had an open connection, its failure rate, and whether it was out of service.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -107,18 +107,18 @@
         self._demands: dict[ServiceId, ServiceDemand] = {}
         self._service_of: dict[TicketId, ServiceId] = {}
         evidence = evidence or NoEvidence()
-        connections = connections or NoConnections()
+        self._connections = connections or NoConnections()
         self._book = TargetBook(evidence, settings, warm_up_rate_of)
         self._probe_order = ProbeOrder(
             self._book.stats,
             settings,
             self._bounds,
             evidence,
-            connections,
+            self._connections,
             rng,
         )
         self._selector = TargetSelector(
-            settings, evidence, connections, self._counters
+            settings, evidence, self._connections, self._counters
         )
         self._pending_probes: dict[int, tuple[ProbeRound, float]] = {}
         self._id_sequence = itertools.count(1)
@@ -141,6 +141,10 @@
         del organisation, deadline_s
         demand = self._demands.setdefault(service, ServiceDemand())
         demand.tickets[ticket] = Ticket(service, excluded, now_s, stake)
+        if excluded:
+            # A second attempt has less time left than those that wait for
+            # their first.
+            demand.tickets.move_to_end(ticket, last=False)
         self._service_of[ticket] = service
         self._start_rounds(service, demand, now_s)
         return []
@@ -173,14 +177,14 @@
     def on_connection_lost(
         self, service: ServiceId, target: TargetId, now_s: float
     ) -> list[Outbound]:
-        """Does nothing: the next probe shows the state of the target."""
+        """Does nothing: each choice asks which connections are open."""
         del service, target, now_s
         return []
 
     def on_pool_empty(
         self, service: ServiceId, target: TargetId, now_s: float
     ) -> list[Outbound]:
-        """Does nothing: the next probe opens a connection."""
+        """Does nothing: each choice asks which connections are open."""
         del service, target, now_s
         return []
 
@@ -565,11 +569,13 @@
         """Returns the readings that the choice is based on, for the log."""
         age_ms = (now_s - self._book.stats[chosen.id].read_at_s) * 1000
         reading = chosen.reading
+        is_open = self._connections.has_idle_connection(chosen.target.address)
         return (
             f"busy {chosen.occupancy - 1} of {reading.slots}, pace"
             f" {reading.relative_service_time:.2f}, read {age_ms:.0f} ms ago,"
             f" failures {chosen.failure_rate:.2f}"
-            f"{', out' if chosen.is_out else ''};"
+            f"{', out of service' if chosen.is_out else ''},"
+            f" {'open' if is_open else 'new'} connection;"
             f" {len(probe_round.candidates)} of"
             f" {len(probe_round.probed_targets)} answered"
         )
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/choice_by_stake.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/choice_by_stake.feature
@@ -114,6 +114,12 @@
     When a second attempt arrives and t3 is 1.4 times slower than the others
     Then the request is sent to t3
 
+  Scenario: A second attempt does not wait behind first ones
+    Given a node with a connection to t1 of 4 near targets
+    When all targets are full, 20 slack requests wait and then a second attempt
+    And room for one request is left
+    Then the second attempt is sent
+
   Scenario: An urgent request does not rely on the last reading of a target that may be slow
     Given a node without probes left, and readings that are 0.3 s old
     When an urgent request arrives
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/load_pattern.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/load_pattern.py
@@ -1,8 +1,11 @@
-"""A few nodes with choosers, and fake targets that run requests."""
+"""A few nodes with choosers, and fake targets that run requests.
+
+``python -m egretrock.coordination.probing.tests.load_pattern`` prints the
+figures of the patterns, with and without stakes.
+"""
 
 import collections
 import heapq
-import inspect
 import itertools
 import random
 
@@ -12,7 +15,11 @@
     TargetChooser,
     TargetSubsets,
 )
-from egretrock.coordination.targets import AttemptOutcome, AttemptResult
+from egretrock.coordination.targets import (
+    AttemptOutcome,
+    AttemptResult,
+    RequestStake,
+)
 from egretrock.state.config import Target
 from egretrock.state.ids import (
     DataCentreId,
@@ -47,6 +54,15 @@
         self.counts = collections.Counter()
 
 
+def make_kinds(scale):
+    """Returns kinds that keep 28.4 slots busy at a scale of 1."""
+    return [
+        Kind("urgent", 30 * scale, 0.2, 0.5, 2.5, False),
+        Kind("read", 90 * scale, 0.16, 0.57, 2.3, True),
+        Kind("slack", 40 * scale, 0.2, 1.4, 3.5, True),
+    ]
+
+
 class Request:
     def __init__(self, kind, now_s):
         self.kind = kind
@@ -131,8 +147,7 @@
         self.uses_stake = uses_stake
         run_counts = run.near_count, run.node_count
         arguments = {}
-        known = inspect.signature(TargetChooser).parameters
-        if uses_stake and "connections" in known:
+        if uses_stake:
             arguments = {"connections": self.connections, "evidence": evidence}
         self.chooser = TargetChooser(
             lambda service: run.listed,
@@ -167,8 +182,6 @@
         deadline_s = request.started_s + kind.deadline_s
         arguments = []
         if self.uses_stake:
-            from egretrock.coordination.targets import RequestStake
-
             arguments = [
                 RequestStake(
                     kind.is_repeatable,
@@ -278,7 +291,7 @@
         seed=1,
         slow_share=0.0,
         loss=(0.0, 0.0),
-        warm_s=2.0,
+        warm_s=0.0,
     ):
         self.kinds = kinds
         self.slots = slots
@@ -353,3 +366,66 @@
     @property
     def opened(self):
         return sum(node.connections.opened for node in self.nodes)
+
+
+class Totals:
+    """Sums of several runs."""
+
+    def __init__(self):
+        self.counts = collections.defaultdict(collections.Counter)
+        self.opened = self.probes = 0
+
+    def add(self, run):
+        for kind in run.kinds:
+            self.counts[kind.name].update(kind.counts)
+        self.opened += run.opened
+        self.probes += run.probe_count
+
+    def share(self, kind, outcome):
+        counts = self.counts[kind]
+        return counts[outcome] / counts["asked"]
+
+    def count(self, outcome):
+        return sum(counts[outcome] for counts in self.counts.values())
+
+
+def play(uses_stake, seeds, span_s, scale=1.0, **arguments):
+    totals = Totals()
+    for seed in seeds:
+        run = LoadPattern(
+            make_kinds(scale), uses_stake=uses_stake, seed=seed, **arguments
+        )
+        totals.add(run.play(span_s))
+    return totals
+
+
+PATTERNS = {
+    "calm": {},
+    "a third slow": {"slow_share": 0.33},
+    "0.7 slow": {"slow_share": 0.7},
+    "half lose half": {"loss": (0.5, 0.5)},
+    "a tenth loses 0.9": {"loss": (0.1, 0.9)},
+    "full": {"scale": 3.8},
+}
+
+
+def main():
+    for name, arguments in PATTERNS.items():
+        for uses_stake in (False, True):
+            totals = play(uses_stake, (1, 2, 3), 15.0, **arguments)
+            asked = totals.count("asked")
+            cells = [
+                " / ".join(
+                    f"{100 * totals.share(kind, outcome):.2f}"
+                    for outcome in ("late", "failed", "second")
+                )
+                for kind in totals.counts
+            ]
+            opened = f"{totals.opened / asked:.3f}"
+            probes = f"{totals.probes / asked:.2f}"
+            way = "stakes" if uses_stake else "none"
+            print("|", " | ".join([name, way, *cells, opened, probes]), "|")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/stake_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/tests/steps/stake_steps.py
@@ -1,4 +1,3 @@
-import collections
 import random
 
 from behave import given, then, when
@@ -11,8 +10,9 @@
 )
 from egretrock.coordination.probing.tests.load_pattern import (
     SERVICE,
-    Kind,
     LoadPattern,
+    make_kinds,
+    play,
 )
 from egretrock.coordination.targets import (
     AttemptOutcome,
@@ -34,14 +34,6 @@
 LOST = AttemptOutcome.LOST
 
 
-def make_kinds(scale):
-    return [
-        Kind("urgent", 30 * scale, 0.2, 0.5, 2.5, False),
-        Kind("read", 90 * scale, 0.16, 0.57, 2.3, True),
-        Kind("slack", 40 * scale, 0.2, 1.4, 3.5, True),
-    ]
-
-
 def set_pattern(context, nodes, targets, scale=1.0, **arguments):
     context.scale = scale
     context.arguments = {
@@ -78,41 +70,14 @@
     set_pattern(context, nodes, targets, scale=targets * 3 / 28.4)
 
 
-class Totals:
-    """Sums of several runs."""
-
-    def __init__(self):
-        self.counts = collections.defaultdict(collections.Counter)
-        self.opened = self.probes = 0
-
-    def add(self, run):
-        for kind in run.kinds:
-            self.counts[kind.name].update(kind.counts)
-        self.opened += run.opened
-        self.probes += run.probe_count
-
-    def share(self, kind, outcome):
-        counts = self.counts[kind]
-        return counts[outcome] / counts["asked"]
-
-    def count(self, outcome):
-        return sum(counts[outcome] for counts in self.counts.values())
-
-
 @when("the load is played")
 def step_play(context):
-    context.totals = {}
-    for uses_stake in (True, False):
-        totals = context.totals[uses_stake] = Totals()
-        for seed in SEEDS:
-            run = LoadPattern(
-                make_kinds(context.scale),
-                uses_stake=uses_stake,
-                seed=seed,
-                warm_s=0.0,
-                **context.arguments,
-            )
-            totals.add(run.play(SPAN_S))
+    context.totals = {
+        uses_stake: play(
+            uses_stake, SEEDS, SPAN_S, context.scale, **context.arguments
+        )
+        for uses_stake in (True, False)
+    }
 
 
 @when("the load is played and a target joins")
@@ -237,7 +202,8 @@
         self.paces = dict.fromkeys(self.targets, 1.0)
         self.evidence = FakeEvidence()
         self.now_s = 100.0
-        self.permits = []
+        self.running = 0
+        self.permits, self.served = [], []
         self.probe_count = self.ticket_count = 0
         self.chooser = TargetChooser(
             lambda service: self.targets,
@@ -280,11 +246,17 @@
                 for probe in probes:
                     pace = self.paces[probe.target]
                     reading = LoadReading(
-                        InstanceId(probe.target), True, 0, 0, 4, pace
+                        InstanceId(probe.target),
+                        True,
+                        self.running,
+                        0,
+                        4,
+                        pace,
                     )
                     self.chooser.on_reading(probe, reading, self.now_s)
             for assignment in self.chooser.poll(self.now_s):
                 self.permits.append(assignment.permit)
+                self.served.append(assignment.ticket)
             if self.now_s >= end_s - 1e-9:
                 return
             self.now_s += 0.005
@@ -399,6 +371,29 @@
     context.node.run(0.05)
 
 
+@when("all targets are full, 20 slack requests wait and then a second attempt")
+def step_full_node(context):
+    node = context.node
+    node.running = 8
+    for _ in range(20):
+        node.request(is_urgent=False)
+    node.request(is_urgent=False, excluded=frozenset({TargetId("t0")}))
+
+
+@when("room for one request is left")
+def step_room_for_one(context):
+    node = context.node
+    node.running = 7
+    while not node.permits:
+        node.run(0.005)
+
+
+@then("the second attempt is sent")
+def step_second_sent(context):
+    node = context.node
+    assert node.served[0] == 21, node.served
+
+
 @when("an urgent request is sent and its answer is lost")
 def step_lost(context):
     node = context.node
