--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -1,5 +1,6 @@
 """Rounds of probes, and the permits that result from them."""
 
+import functools
 import itertools
 import random
 from collections.abc import Callable, Mapping, Sequence
@@ -10,8 +11,16 @@
     TargetBounds,
     Unbounded,
 )
+from egretrock.coordination.probing._candidates import Candidate
+from egretrock.coordination.probing._needs import Needs, needs_of
+from egretrock.coordination.probing._ports import (
+    IdleConnections,
+    NoConnections,
+    NoEvidence,
+    TargetEvidence,
+)
+from egretrock.coordination.probing._probe_order import ProbeOrder
 from egretrock.coordination.probing._readings import (
-    Candidate,
     LoadProbe,
     LoadReading,
     TargetStats,
@@ -21,13 +30,15 @@
     ServiceDemand,
     Ticket,
 )
+from egretrock.coordination.probing._selection import TargetSelector
 from egretrock.coordination.probing._settings import ChoiceSettings
 from egretrock.coordination.probing._subsets import TargetSubsets
+from egretrock.coordination.probing._target_book import TargetBook
 from egretrock.coordination.targets import (
     Assignment,
-    AttemptOutcome,
     AttemptResult,
     Permit,
+    RequestStake,
 )
 from egretrock.state.config import Target
 from egretrock.state.ids import (
@@ -41,17 +52,6 @@
 #: centre that is enabled.
 UsableTargets = Callable[[ServiceId], Mapping[TargetId, Target]]
 
-#: Outcomes that raise the failure rate of a target. ``CONNECT_FAILED`` (no
-#: connection was made) does not; it counts as an unanswered probe.
-_FAILURES = frozenset(
-    {
-        AttemptOutcome.ERROR,
-        AttemptOutcome.LOST,
-        AttemptOutcome.SHED,
-        AttemptOutcome.TIMEOUT,
-    }
-)
-
 _DEFAULTS = ChoiceSettings()
 
 
@@ -76,6 +76,9 @@
         on_probes_due: Called when there are new probes to send, while the
             chooser is updating its state; must not send them before it
             returns.
+        evidence: Outcomes of attempts at the targets, also those of other
+            nodes.
+        connections: Open connections of this node.
     """
 
     def __init__(
@@ -89,6 +92,8 @@
         on_probes_due: Callable[[], None] = lambda: None,
         bounds: TargetBounds | Unbounded | None = None,
         warm_up_rate_of: Callable[[ServiceId], float | None] = lambda _: None,
+        evidence: TargetEvidence | None = None,
+        connections: IdleConnections | None = None,
     ) -> None:
         self._warm_up_rate_of = warm_up_rate_of
         self._bounds = bounds or Unbounded()
@@ -101,7 +106,20 @@
         self._counters = counters or NullCounters()
         self._demands: dict[ServiceId, ServiceDemand] = {}
         self._service_of: dict[TicketId, ServiceId] = {}
-        self._stats: dict[TargetId, TargetStats] = {}
+        evidence = evidence or NoEvidence()
+        self._connections = connections or NoConnections()
+        self._book = TargetBook(evidence, settings, warm_up_rate_of)
+        self._probe_order = ProbeOrder(
+            self._book.stats,
+            settings,
+            self._bounds,
+            evidence,
+            self._connections,
+            rng,
+        )
+        self._selector = TargetSelector(
+            settings, evidence, self._connections, self._counters
+        )
         self._pending_probes: dict[int, tuple[ProbeRound, float]] = {}
         self._id_sequence = itertools.count(1)
         self._unsent_probes: list[LoadProbe] = []
@@ -117,11 +135,16 @@
         excluded: frozenset[TargetId],
         deadline_s: float,
         now_s: float,
+        stake: RequestStake | None = None,
     ) -> list[Outbound]:
         """Requests a target for one waiting request."""
         del organisation, deadline_s
         demand = self._demands.setdefault(service, ServiceDemand())
-        demand.tickets[ticket] = Ticket(service, excluded)
+        demand.tickets[ticket] = Ticket(service, excluded, now_s, stake)
+        if excluded:
+            # A second attempt has less time left than those that wait for
+            # their first.
+            demand.tickets.move_to_end(ticket, last=False)
         self._service_of[ticket] = service
         self._start_rounds(service, demand, now_s)
         return []
@@ -140,15 +163,7 @@
         self, permit: Permit, result: AttemptResult, now_s: float
     ) -> list[Outbound]:
         """Records the outcome of a request."""
-        stats = self._stats.get(permit.target)
-        if stats is not None:
-            stats.on_finished()
-        if stats is None or result.outcome is AttemptOutcome.UNUSED:
-            return []
-        if result.outcome is AttemptOutcome.CONNECT_FAILED:
-            stats.on_no_answer(now_s)
-        if result.outcome is not AttemptOutcome.CANCELLED:
-            stats.on_outcome(result.outcome in _FAILURES, now_s)
+        self._book.on_finished(permit, result, now_s)
         return []
 
     def cancel(self, ticket: TicketId, now_s: float) -> list[Outbound]:
@@ -162,14 +177,14 @@
     def on_connection_lost(
         self, service: ServiceId, target: TargetId, now_s: float
     ) -> list[Outbound]:
-        """Does nothing: the next probe shows the state of the target."""
+        """Does nothing: each choice asks which connections are open."""
         del service, target, now_s
         return []
 
     def on_pool_empty(
         self, service: ServiceId, target: TargetId, now_s: float
     ) -> list[Outbound]:
-        """Does nothing: the next probe opens a connection."""
+        """Does nothing: each choice asks which connections are open."""
         del service, target, now_s
         return []
 
@@ -198,7 +213,7 @@
         probe_round, sent_s = self._pending_probes.pop(
             probe.number, (None, now_s)
         )
-        stats = self._stats.setdefault(probe.target, TargetStats())
+        stats = self._book.stats.setdefault(probe.target, TargetStats())
         if reading is None:
             stats.on_no_answer(now_s)
             self._counters.increment("probes.failed")
@@ -211,7 +226,7 @@
         if reading is not None:
             if probe_round.first_answer_s is None:
                 probe_round.first_answer_s = now_s
-            self._add_candidate(probe_round, probe.target, stats, now_s)
+            self._add_candidate(probe_round, probe.target, now_s)
         self._advance(probe_round, now_s)
 
     def _report_bounds(
@@ -275,35 +290,57 @@
         # The rounds in progress serve the first tickets.
         round_count = len(demand.rounds)
         ticket_id, ticket = list(demand.tickets.items())[round_count]
+        needs = needs_of(ticket, self.settings, now_s)
         probe_round = ProbeRound(service, now_s)
+        oldest_s = self._oldest_usable_s(service, demand, needs, now_s)
         targets = list(self._targets_of(service))
         self._rng.shuffle(targets)
         for target_id in targets:
-            stats = self._stats.get(target_id)
+            stats = self._book.stats.get(target_id)
             if target_id in ticket.excluded or stats is None:
                 continue
             if stats.reading is None or now_s < stats.next_probe_s:
                 continue
-            self._add_candidate(probe_round, target_id, stats, now_s)
+            if stats.read_at_s < oldest_s:
+                continue
+            self._add_candidate(probe_round, target_id, now_s)
             candidate = probe_round.candidates.get(target_id)
             if candidate is not None and not (
-                self._is_eligible(candidate)
-                and self._has_room(candidate)
+                self._book.is_eligible(candidate)
+                and self._book.has_room(candidate)
                 and self._may_send_or_ask(candidate, now_s)
             ):
                 del probe_round.candidates[target_id]
             if len(probe_round.candidates) >= self.settings.unprobed_choices:
                 break
-        if not probe_round.candidates:
+        best = self._selector.select(
+            probe_round.candidates.values(), needs, lambda _: True, now_s
+        )
+        if best is None:
             return False
         self._counters.increment("choice.unprobed")
-        best = min(
-            probe_round.candidates.values(),
-            key=lambda candidate: candidate.cost(),
-        )
         self._assign(ticket_id, ticket, best, probe_round, now_s)
         return True
 
+    def _oldest_usable_s(
+        self,
+        service: ServiceId,
+        demand: ServiceDemand,
+        needs: Needs,
+        now_s: float,
+    ) -> float:
+        """Returns the time of the oldest reading that a request may rely on.
+
+        A request that would be late at the slowest target needs a reading of
+        this moment, or else probes as long as the overdraft lasts.
+        """
+        if not demand.budget.may_overdraw():
+            return float("-inf")
+        slowest = self._book.slowest_service_time(self._targets_of(service))
+        if needs.on_time_slowdown > slowest:
+            return float("-inf")
+        return now_s - self.settings.moment_s
+
     def _widen_round(self, probe_round: ProbeRound, now_s: float) -> None:
         """Probes further targets of all tiers, near ones first."""
         probe_round.is_widened = True
@@ -327,15 +364,24 @@
         round is sent even if the budget is exhausted.
         """
         targets = self._targets_of(probe_round.service)
-        preferred, deferred = self._order_targets(probe_round, tiers, now_s)
+        ordered, open_count = self._probe_order.order(
+            targets,
+            tiers,
+            self._excluded_by_all(probe_round.service)
+            | probe_round.probed_targets,
+            now_s,
+        )
         budget = self._demands[probe_round.service].budget
         # When the budget runs short, every request gets fewer probes, rather
         # than some requests many and others none.
-        count = max(
-            self.settings.min_probe_count, round(count * budget.fill_ratio)
-        )
+        min_count = self.settings.min_probe_count
+        count = max(min_count, round(count * budget.fill_ratio))
+        if not probe_round.is_widened and 2 * open_count >= len(tiers[0]):
+            # In a service that is not full, no connection is opened just to
+            # compare one target more.
+            count = min(count, max(min_count, open_count))
         any_sent = False
-        for target_id in (preferred + deferred)[:count]:
+        for target_id in ordered[:count]:
             if budget.tokens < 1.0 and (any_sent or probe_round.probed_targets):
                 self._counters.increment("probes.saved")
                 break
@@ -359,36 +405,6 @@
             self._on_probes_due()
         return any_sent
 
-    def _order_targets(
-        self,
-        probe_round: ProbeRound,
-        tiers: Sequence[list[TargetId]],
-        now_s: float,
-    ) -> tuple[list[TargetId], list[TargetId]]:
-        """Returns the targets to probe: the preferred, and the likely slow."""
-        skipped = (
-            self._excluded_by_all(probe_round.service)
-            | probe_round.probed_targets
-        )
-        preferred, deferred = [], []
-        for tier in tiers:
-            fast, slow = [], []
-            for target_id in tier:
-                stats = self._stats.get(target_id)
-                if target_id in skipped:
-                    continue
-                if stats is not None and now_s < stats.next_probe_s:
-                    continue
-                if self._bounds.is_exhausted(target_id, now_s):
-                    continue
-                is_slow = self._is_likely_slow(stats, now_s)
-                (slow if is_slow else fast).append(target_id)
-            self._rng.shuffle(fast)
-            self._rng.shuffle(slow)
-            preferred += fast
-            deferred += slow
-        return preferred, deferred
-
     def _excluded_by_all(self, service: ServiceId) -> frozenset[TargetId]:
         """Returns the targets that every waiting request excludes."""
         tickets = self._demands[service].tickets.values()
@@ -402,46 +418,17 @@
                 excluded &= ticket.excluded
         return excluded or frozenset()
 
-    def _is_likely_slow(self, stats: TargetStats | None, now_s: float) -> bool:
-        """Returns whether a target is probably slow, full, cold or failing."""
-        if stats is None or stats.reading is None:
-            return False
-        reading = stats.reading
-        if reading.cold_s > now_s - stats.read_at_s:
-            return True
-        if now_s - stats.read_at_s > self.settings.max_reading_age_s:
-            return stats.failure_rate(now_s) > 0.5
-        is_full = reading.running + reading.waiting >= reading.slots
-        return (
-            is_full or reading.relative_service_time > self.settings.good_cost
-        )
-
     def _add_candidate(
         self,
         probe_round: ProbeRound,
         target_id: TargetId,
-        stats: TargetStats,
         now_s: float,
     ) -> None:
         target = self._targets_of(probe_round.service).get(target_id)
         if target is None:
             return
-        candidate = Candidate(
-            target_id,
-            target,
-            stats.reading,
-            0,
-            stats.failure_rate(now_s),
-        )
-        self._update_candidate(candidate)
-        probe_round.candidates[target_id] = candidate
-
-    def _update_candidate(self, candidate: Candidate) -> None:
-        """Applies the latest reading, which may come from another round."""
-        stats = self._stats[candidate.id]
-        reading = candidate.reading = stats.reading
-        candidate.occupancy = (
-            reading.running + reading.waiting + stats.unreported_count()
+        probe_round.candidates[target_id] = self._book.candidate(
+            target_id, target, now_s
         )
 
     def _round_deadline_s(self, probe_round: ProbeRound) -> float:
@@ -471,30 +458,36 @@
     def _may_widen(self, probe_round: ProbeRound, now_s: float) -> bool:
         """Returns whether a round may be widened beyond near targets.
 
-        It may after the first answer: waiting for the others would take as
-        long as probing far targets.
+        It may once half of the targets have answered: the others would rarely
+        be better, and waiting for them takes as long as probing far targets.
         """
-        has_answer = probe_round.first_answer_s is not None
-        return (
-            has_answer
-            or not probe_round.pending_probes
-            or now_s >= self._round_deadline_s(probe_round)
-        )
+        pending_count = len(probe_round.pending_probes)
+        return 2 * pending_count <= len(
+            probe_round.probed_targets
+        ) or now_s >= self._round_deadline_s(probe_round)
 
     def _has_good_candidate(
         self, probe_round: ProbeRound, now_s: float
     ) -> bool:
+        needs = self._needs_of_round(probe_round, now_s)
         for candidate in probe_round.candidates.values():
-            self._update_candidate(candidate)
-            is_good = candidate.cost() <= self.settings.good_cost
+            self._book.update(candidate)
             if (
-                is_good
-                and self._is_eligible(candidate)
+                self._book.is_eligible(candidate)
+                and self._selector.is_good(candidate, needs)
                 and self._bounds.may_send(candidate.id, now_s)
             ):
                 return True
         return False
 
+    def _needs_of_round(self, probe_round: ProbeRound, now_s: float) -> Needs:
+        """Returns the needs of the request that a round most likely serves."""
+        demand = self._demands[probe_round.service]
+        ticket = next(iter(demand.tickets.values()), None)
+        if ticket is None:
+            return Needs()
+        return needs_of(ticket, self.settings, now_s)
+
     def _may_send_or_ask(self, candidate: Candidate, now_s: float) -> bool:
         """Returns whether the bounds of a target allow a request now.
 
@@ -505,58 +498,37 @@
         self._bounds.want(candidate.id, now_s)
         return False
 
-    def _is_eligible(self, candidate: Candidate) -> bool:
-        """Returns whether a target is warm and able to run requests."""
-        return self._is_serving(candidate) and candidate.reading.cold_s <= 0
-
-    def _is_serving(self, candidate: Candidate) -> bool:
-        reading = candidate.reading
-        if not reading.healthy or reading.slots < 1:
-            return False
-        instance = reading.instance
-        return instance is None or instance == candidate.id
-
-    def _eligible_candidates(self, probe_round: ProbeRound) -> list[Candidate]:
-        """Returns the warm targets, or cold ones if no target is warm."""
-        serving = [
-            candidate
-            for candidate in probe_round.candidates.values()
-            if self._is_serving(candidate)
-        ]
-        warm = [c for c in serving if c.reading.cold_s <= 0]
-        if warm or self._warm_up_rate_of(probe_round.service) is None:
-            return warm
-        # A cold target is slow, so it gets no queue.
-        return [c for c in serving if c.free_slots]
-
     def _finish_round(self, probe_round: ProbeRound, now_s: float) -> None:
         """Assigns the candidates of a round to waiting requests."""
         probe_round.is_finished = True
         demand = self._demands[probe_round.service]
         demand.rounds.remove(probe_round)
         for candidate in probe_round.candidates.values():
-            self._update_candidate(candidate)
-        eligible = self._eligible_candidates(probe_round)
+            self._book.update(candidate)
+        eligible = self._book.eligible(
+            probe_round.service, probe_round.candidates.values()
+        )
         # Each round serves one request. The last one also serves the requests
         # that have no round because of ``max_rounds``.
         wanted_count = max(1, len(demand.tickets) - len(demand.rounds))
         assigned_count = 0
         for ticket_id, ticket in list(demand.tickets.items()):
-            usable = [
-                candidate
-                for candidate in eligible
-                if candidate.id not in ticket.excluded
-                and self._has_room(candidate)
-            ]
-            usable.sort(key=lambda candidate: candidate.cost())
-            best = next(
-                (c for c in usable if self._may_send_or_ask(c, now_s)), None
+            if assigned_count >= wanted_count:
+                break
+            best = self._selector.select(
+                (
+                    candidate
+                    for candidate in eligible
+                    if candidate.id not in ticket.excluded
+                    and self._book.has_room(candidate)
+                ),
+                needs_of(ticket, self.settings, now_s),
+                functools.partial(self._may_send_or_ask, now_s=now_s),
+                now_s,
             )
             if best is None:
                 continue
-            if assigned_count and (
-                assigned_count >= wanted_count or not best.free_slots
-            ):
+            if assigned_count and not best.free_slots:
                 break
             self._assign(ticket_id, ticket, best, probe_round, now_s)
             assigned_count += 1
@@ -564,11 +536,6 @@
             self._counters.increment("choice.no_room")
             demand.next_round_s = now_s + self.settings.retry_s
 
-    def _has_room(self, candidate: Candidate) -> bool:
-        slots = candidate.reading.slots
-        limit = slots * (1.0 + self.settings.max_waiting_ratio)
-        return candidate.occupancy + 1 <= limit
-
     def _assign(
         self,
         ticket_id: TicketId,
@@ -579,8 +546,9 @@
     ) -> None:
         del self._demands[ticket.service].tickets[ticket_id]
         del self._service_of[ticket_id]
+        slowdown = chosen.slowdown()
         chosen.occupancy += 1
-        self._stats[chosen.id].on_sent(now_s)
+        self._book.stats[chosen.id].on_sent(now_s)
         self._bounds.on_send(chosen.id, now_s)
         permit = Permit(
             next(self._id_sequence),
@@ -591,6 +559,7 @@
             now_s + self.settings.permit_s,
             True,  # may use a new connection
             self._choice_basis(chosen, probe_round, now_s),
+            slowdown,
         )
         self._assignments.append(Assignment(ticket_id, permit))
 
@@ -598,11 +567,15 @@
         self, chosen: Candidate, probe_round: ProbeRound, now_s: float
     ) -> str:
         """Returns the readings that the choice is based on, for the log."""
-        age_ms = (now_s - self._stats[chosen.id].read_at_s) * 1000
+        age_ms = (now_s - self._book.stats[chosen.id].read_at_s) * 1000
         reading = chosen.reading
+        is_open = self._connections.has_idle_connection(chosen.target.address)
         return (
             f"busy {chosen.occupancy - 1} of {reading.slots}, pace"
-            f" {reading.relative_service_time:.2f}, read {age_ms:.0f} ms ago;"
+            f" {reading.relative_service_time:.2f}, read {age_ms:.0f} ms ago,"
+            f" failures {chosen.failure_rate:.2f}"
+            f"{', out of service' if chosen.is_out else ''},"
+            f" {'open' if is_open else 'new'} connection;"
             f" {len(probe_round.candidates)} of"
             f" {len(probe_round.probed_targets)} answered"
         )
@@ -619,5 +592,4 @@
             kept.update(self._targets_of(service))
             for probe_round in demand.rounds:
                 kept.update(probe_round.candidates)
-        for target_id in self._stats.keys() - kept:
-            del self._stats[target_id]
+        self._book.retain(kept)
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -36,6 +36,7 @@
     chunks,
     first_chunk,
 )
+from egretrock.coordination.targets._stake import RequestStake
 from egretrock.state.config import BalancingPolicy, usable_target
 from egretrock.state.ids import (
     InstanceId,
@@ -288,6 +289,7 @@
         excluded: frozenset[TargetId],
         deadline_s: float,
         now_s: float,
+        stake: RequestStake | None = None,
     ) -> list[Outbound]:
         """Asks for a permit for one waiting request.
 
@@ -299,7 +301,9 @@
                 earlier attempts.
             deadline_s: Time from which the permit is not needed any more.
             now_s: Time.
+            stake: Ignored; the home of the service issues the permits.
         """
+        del stake
         client = self._service(service)
         client.tickets[ticket] = _Ticket(organisation, excluded, deadline_s)
         self._tickets[ticket] = service
