Bound the memory of answers that callers read slowly, and free targets early

Callers saw requests wait for targets that were held by callers which read slowly, and a node could hold 64 KB of an answer for each of its thousands of connections without any limit for the process.

Cause: reading from a target stopped once 64 KB waited for its caller, and went on only when all of it was taken; nothing counted what waits in the send buffers of all connections.

A caller that takes nothing for 30 s, or 5 s at that limit, is disconnected. Each of these is counted.

--- a/packages/egretrock-node/src/egretrock_node/daemon/_node.py
+++ b/packages/egretrock-node/src/egretrock_node/daemon/_node.py
@@ -257,6 +257,7 @@
                 max_connections=settings.limits.max_connections,
                 max_header_bytes=settings.limits.max_header_bytes,
             ),
+            self.pipeline.answer_budget,
         )
 
     def _make_sockets(self, adapters: NodeAdapters) -> None:
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -278,6 +278,8 @@
                 # An answer of up to this size that turns out to be truncated
                 # can be replaced by another target's.
                 max_held_answer_bytes=65_536,
+                max_held_body_bytes=settings.max_held_bytes,
+                max_answer_bytes=settings.max_held_bytes,
                 # The probe before each request shows that the connection
                 # works, so silence means that the target is slow. The share of
                 # the deadline does not end an attempt early; only a multiple
@@ -304,6 +306,7 @@
             self.clock,
             counters,
             CallerServerSettings(max_connections=settings.max_connections),
+            self.pipeline.answer_budget,
         )
 
     def _make_endpoints_and_reader(self) -> None:
--- a/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
@@ -44,6 +44,9 @@
         metrics_address: ``"ip:port"`` of the metrics page, or None for none.
         seeds: Peer addresses through which the node joins the fleet.
         max_connections: Maximum number of open connections of callers.
+        max_held_bytes: Bytes of request bodies, and of answers, above which
+            they are not kept in memory longer than needed; at twice as many,
+            requests are refused.
         drain: Settings of the drain.
         gossip: Settings of the membership.
         directory: Settings of the shared directory.
@@ -63,6 +66,7 @@
     metrics_address: str | None = None
     seeds: tuple[NodeId, ...] = ()
     max_connections: int = 2048
+    max_held_bytes: int = 25_000_000
     drain: DrainSettings = DrainSettings()
     gossip: GossipSettings = GossipSettings()
     directory: DirectorySettings = DirectorySettings()
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
@@ -1,5 +1,6 @@
 """The request pipeline: from the head of a request to its answer."""
 
+from egretrock_node.protocol.requests._answers import AnswerBudget
 from egretrock_node.protocol.requests._exchange import Exchange
 from egretrock_node.protocol.requests._pipeline import RequestPipeline
 from egretrock_node.protocol.requests._ports import (
@@ -29,6 +30,7 @@
 
 __all__ = [
     "NO_ORGANISATION",
+    "AnswerBudget",
     "AttemptFailure",
     "AttemptHandle",
     "AttemptListener",
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -484,8 +484,7 @@
             )
             return
         self._held_head = head
-        if not self._pipeline.settings.max_held_answer_bytes:
-            self._forward_held()
+        self._forward_if_too_large()
 
     def on_data(self, data: bytes) -> None:
         """Handles a chunk of the answer."""
@@ -496,23 +495,39 @@
             self._exchange.write_answer(data)
             return
         self._held_body += data
-        if len(self._held_body) > self._pipeline.settings.max_held_answer_bytes:
+        self._pipeline.answer_budget.held_bytes += len(data)
+        self._forward_if_too_large()
+
+    def _forward_if_too_large(self) -> None:
+        """Forwards the held part of an answer that must not be held whole."""
+        limit_bytes = self._pipeline.settings.max_held_answer_bytes
+        if (
+            not limit_bytes
+            or len(self._held_body) > limit_bytes
+            or self._pipeline.answer_budget.exceeds_read_ahead_limit
+        ):
             self._forward_held()
 
     def _forward_held(self) -> None:
         """Forwards the held part of the answer to the caller."""
         head, self._held_head = self._held_head, None
+        body = self._take_held_body()
         self._exchange.start_answer(head)
-        if self._held_body:
-            self._exchange.write_answer(bytes(self._held_body))
-            self._held_body.clear()
+        if body:
+            self._exchange.write_answer(body)
+
+    def _take_held_body(self) -> bytes:
+        body = bytes(self._held_body)
+        self._held_body = bytearray()
+        self._pipeline.answer_budget.held_bytes -= len(body)
+        return body
 
     def on_end(self) -> None:
         """Handles the end of the answer."""
         if self.is_active:
             if self._held_head is not None:
                 self._forward_held()
-            self.is_active = False
+            self.end()
             error = self._status >= 500
             outcome = AttemptOutcome.ERROR if error else AttemptOutcome.OK
             self._pipeline.on_attempt_answered(
@@ -535,9 +550,14 @@
     def abandon(self, silent: bool) -> None:
         """Abandons the attempt; any answer to it is dropped."""
         if self.is_active:
-            self.is_active = False
+            self.end()
             self.handle.abandon(silent)
 
+    def end(self) -> None:
+        """Ignores all further events and frees what is held of the answer."""
+        self.is_active = False
+        self._take_held_body()
+
     def result(self, outcome: AttemptOutcome) -> AttemptResult:
         """Returns the result to report for the permit."""
         if not self.is_sent:
@@ -550,7 +570,7 @@
         )
 
     def _fail(self, failure: AttemptFailure) -> None:
-        self.is_active = False
+        self.end()
         self._pipeline.on_attempt_failed(self._exchange, self, failure)
 
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -52,6 +52,7 @@
     header_values,
     path_contains_key,
 )
+from egretrock_node.protocol.requests._answers import AnswerBudget
 from egretrock_node.protocol.requests._body import BodyBudget
 from egretrock_node.protocol.requests._exchange import (
     Attempt,
@@ -157,6 +158,7 @@
         self._on_error = environment.on_error
         self.settings = settings
         self.body_budget = BodyBudget(settings.max_held_body_bytes)
+        self.answer_budget = AnswerBudget(settings.max_answer_bytes)
         self._credentials = credentials
         self.protocol = protocol
         self.caller_protocol = caller_protocol or CallerProtocol()
@@ -345,6 +347,15 @@
             and exchange.deadline_s > self._serves_until_s
         ):
             return NODE_STOPPING
+        if self.answer_budget.exceeds_hard_limit:
+            self.counters.increment("answers.memory_full")
+            message = (
+                f"{self.answer_budget.recount()} bytes of answers wait for"
+                " callers that read slowly"
+            )
+            return Refusal(
+                RefusalCode.QUEUE_FULL, RunState.NOT_RUN, message, 1000
+            )
         out_since_s = self._config_in_force.out_since_s
         if (
             out_since_s is not None
@@ -1073,7 +1084,7 @@
 
         Its permit is returned.
         """
-        attempt.is_active = False
+        attempt.end()
         exchange.attempt = None
         self._return_permit(exchange, attempt, attempt.result(outcome), now_s)
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -408,6 +408,9 @@
         max_held_answer_bytes: Bytes of an answer that are held back until it
             is complete, so that a damaged answer can be replaced by one of
             another target; 0 forwards each byte at once.
+        max_answer_bytes: Bytes of all answers in memory above which answers
+            are not held back and are read only as fast as callers take them;
+            at twice as many, requests are refused.
     """
 
     data_centre: DataCentreId
@@ -417,6 +420,7 @@
     min_progress_s: float = 1.0
     progress_ratio: float = 0.5
     max_held_answer_bytes: int = 0
+    max_answer_bytes: int = 50_000_000
 
 
 class ProcessServices(msgspec.Struct, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -189,14 +189,17 @@
     )
 
 
-def make_pipeline(parts, targets, counters, clock=time.monotonic, rng=None):
+def make_pipeline(
+    parts, targets, counters, clock=time.monotonic, rng=None, **settings
+):
+    settings = {"max_held_body_bytes": 1_000_000, **settings}
     return RequestPipeline(
         parts,
         targets,
         ProcessServices(
             clock, lambda messages: None, counters, rng or random.Random(1)
         ),
-        PipelineSettings("east", max_held_body_bytes=1_000_000),
+        PipelineSettings("east", **settings),
         KeyCredentials(),
         TargetProtocol(),
         1,
--- a/packages/egretrock-node/src/egretrock_node/tests/path_world.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_world.py
@@ -57,7 +57,12 @@
     """A node and its targets; close it after the scenario."""
 
     def __init__(
-        self, target_count=1, deadline_ms=10_000, protocol=None, **settings
+        self,
+        target_count=1,
+        deadline_ms=10_000,
+        protocol=None,
+        pipeline_settings=None,
+        **settings,
     ):
         start_reactor()
         self._protocol = protocol or TargetProtocol()
@@ -65,15 +70,24 @@
         self.addresses = [target.address for target in self.targets]
         self.parts = make_parts(make_config(self.addresses, deadline_ms))
         self.counters = CountingCounters()
-        in_reactor(self._open, CallerServerSettings(**settings))
+        in_reactor(
+            self._open, CallerServerSettings(**settings), pipeline_settings
+        )
 
-    def _open(self, settings):
+    def _open(self, settings, pipeline_settings):
         clock, counters = time.monotonic, self.counters
         self.pool = TargetPool(reactor, clock, counters, self._protocol)
-        self.pipeline = make_pipeline(self.parts, self.pool, counters)
+        self.pipeline = make_pipeline(
+            self.parts, self.pool, counters, **(pipeline_settings or {})
+        )
         self.pool.observer = self.pipeline
         self.server = CallerServer(
-            reactor, self.pipeline, clock, counters, settings
+            reactor,
+            self.pipeline,
+            clock,
+            counters,
+            settings,
+            self.pipeline.answer_budget,
         )
         self.port = self.server.listen("127.0.0.1:0").getHost().port
         self.tick_loop = task.LoopingCall(self._tick)
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -58,6 +58,8 @@
         self._version = b"HTTP/1.1"
         self._body_bytes = 0
         self._is_body_complete = False
+        self._is_buffer_full = False
+        self._is_blocked = False
         self._is_started = False
         self._is_finished = False
         self._is_chunked = False
@@ -132,7 +134,7 @@
         if not channel.persistent:
             lines.append(b"Connection: close\r\n")
         lines.append(b"\r\n")
-        channel.transport.write(b"".join(lines))
+        channel.send([b"".join(lines)])
         if self._has_body:
             channel.registerProducer(self, True)
 
@@ -140,17 +142,16 @@
         """Sends a piece of the answer's body."""
         if not self._has_body:
             return
-        if self._is_chunked:
-            self._channel.transport.writeSequence(toChunk(data))
-        else:
-            self._channel.transport.write(data)
+        pieces = toChunk(data) if self._is_chunked else [data]
+        self._channel.send(list(pieces))
+        self._update_blocked()
 
     def finish(self) -> None:
         """Ends the answer."""
         channel = self._channel
         self._is_finished = True
         if self._is_chunked:
-            channel.transport.write(b"0\r\n\r\n")
+            channel.send([b"0\r\n\r\n"])
         channel.unregisterProducer()
         if self._is_body_complete:
             channel.requestDone(self)
@@ -177,17 +178,27 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Reports that the send buffer to the caller is full."""
-        if self.exchange is not None:
-            self.exchange.on_caller_blocked(True)
+        self._is_buffer_full = True
+        self._update_blocked()
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Reports that the caller can be sent data again."""
-        if self.exchange is not None:
-            self.exchange.on_caller_blocked(False)
+        self._is_buffer_full = False
+        self._update_blocked()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing: ``connectionLost`` reports the loss."""
 
+    def _update_blocked(self) -> None:
+        """Tells the exchange whether its target must wait for the caller."""
+        is_blocked = self._is_buffer_full and self._channel.is_read_ahead_full()
+        if is_blocked != self._is_blocked:
+            self._is_blocked = is_blocked
+            if is_blocked:
+                self._channel.server.on_answer_blocked()
+            if self.exchange is not None:
+                self.exchange.on_caller_blocked(is_blocked)
+
     def _may_stay_open(self) -> bool:
         """Returns whether the rest of the body is small enough to discard."""
         if self._is_body_complete or self._head is None:
@@ -212,6 +223,8 @@
         discarding_since_s: Time since which the rest of a body is read and
             discarded because its answer has ended, or None.
         is_awaiting_head: Whether no request is in progress.
+        progress_s: Time at which the caller was last seen to take bytes of an
+            answer, while some wait.
     """
 
     requestFactory = CallerRequest  # noqa: N815
@@ -233,6 +246,8 @@
         self._is_refused = False
         self._linger_timer = None
         self._closing_since_s: float | None = None
+        self.progress_s = self.idle_since_s
+        self._last_unsent_bytes = 0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Registers the connection with the server."""
@@ -253,15 +268,30 @@
 
         An abort discards them, wherever they wait.
         """
+        fileno = self.transport.fileno()
+        queued = fcntl.ioctl(fileno, termios.TIOCOUTQ, bytes(4))
+        return self.buffered_bytes + int.from_bytes(queued, sys.byteorder)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes in the send buffer of this process."""
         transport = self.transport
         # Twisted has no public interface for the size of the buffer.
-        buffered_bytes = len(transport.dataBuffer) - transport.offset
-        queued = fcntl.ioctl(transport.fileno(), termios.TIOCOUTQ, bytes(4))
-        return (
-            buffered_bytes
-            + transport._tempDataLen
-            + int.from_bytes(queued, sys.byteorder)
-        )
+        waiting_bytes = len(transport.dataBuffer) - transport.offset
+        return waiting_bytes + transport._tempDataLen
+
+    def send(self, pieces: list[bytes]) -> None:
+        """Sends parts of an answer."""
+        self.server.on_written(self, sum(map(len, pieces)))
+        self.transport.writeSequence(pieces)
+
+    def stalled_s(self, now_s: float) -> float:
+        """Returns for how long the caller has taken nothing of an answer."""
+        unsent_bytes = self.unsent_bytes
+        if unsent_bytes != self._last_unsent_bytes or not unsent_bytes:
+            self._last_unsent_bytes = unsent_bytes
+            self.progress_s = now_s
+        return now_s - self.progress_s
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parses received bytes."""
@@ -406,6 +436,14 @@
             f"the body exceeds {self.server.settings.max_body_bytes} bytes",
         )
 
+    def is_read_ahead_full(self) -> bool:
+        """Returns whether to read answers only as fast as they are taken."""
+        server = self.server
+        return (
+            self.buffered_bytes >= server.settings.max_read_ahead_bytes
+            or server.answer_budget.exceeds_read_ahead_limit
+        )
+
     def pause_body(self, paused: bool) -> None:
         """Pauses or resumes reading while a body is being received."""
         if self._handlingRequest or self._is_refused:
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -13,7 +13,7 @@
 from egretrock.state.config import split_address
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 from egretrock_node.protocol.http import bad_request, refusal_answer
-from egretrock_node.protocol.requests import RequestPipeline
+from egretrock_node.protocol.requests import AnswerBudget, RequestPipeline
 from egretrock_node.transport.caller._channel import CallerChannel
 
 
@@ -28,8 +28,13 @@
         head_timeout_s: Timeout for receiving a complete head.
         linger_s: Time for which a connection that is being closed still
             reads, so that the caller gets the answer.
-        unsent_timeout_s: Time after which a connection that is being closed is
-            aborted although its caller has not taken the whole answer.
+        unsent_timeout_s: Time after which a connection is aborted if its
+            caller has taken nothing of an answer, or if it is being closed
+            and its caller has not taken the whole answer.
+        pressed_timeout_s: The same time for callers that take nothing while
+            answers use more memory than they may.
+        max_read_ahead_bytes: Bytes of an answer that are read ahead of a slow
+            caller, so that its target is free for other requests.
         drain_idle_timeout_s: Idle time after which a drain closes a connection.
             Closing without it could race with a request in transit.
     """
@@ -41,12 +46,15 @@
     head_timeout_s: float = 10.0
     linger_s: float = 1.0
     unsent_timeout_s: float = 30.0
+    pressed_timeout_s: float = 5.0
+    max_read_ahead_bytes: int = 262_144
     drain_idle_timeout_s: float = 1.0
 
 
 #: Maximum number of connections above the limit that stay open for
 #: ``linger_s``, so that their caller gets the answer.
 _MAX_REFUSED_CONNECTIONS = 256
+_DEFAULT_MAX_BYTES = 50_000_000
 
 
 class _RefusedConnection(Protocol):
@@ -96,8 +104,11 @@
         clock: Seconds of the node's monotonic clock.
         counters: Counters of the node.
         settings: Limits.
+        answer_budget: Memory budget that the connections share with the
+            pipeline.
 
     Attributes:
+        answer_budget: The memory budget.
         is_draining: Whether answers ask callers to close.
         refused_count: Number of open connections above the limit.
     """
@@ -111,6 +122,7 @@
         clock: Callable[[], float],
         counters: Counters,
         settings: CallerServerSettings,
+        answer_budget: AnswerBudget | None = None,
     ) -> None:
         self._reactor = reactor
         self.pipeline = pipeline
@@ -120,6 +132,9 @@
         self.is_draining = False
         self.refused_count = 0
         self._channels: set[CallerChannel] = set()
+        self._sending: dict[CallerChannel, None] = {}
+        self.answer_budget = answer_budget or AnswerBudget(_DEFAULT_MAX_BYTES)
+        self.answer_budget.count_unsent = self._count_buffered
         self._port: IListeningPort | None = None
 
     @property
@@ -203,6 +218,7 @@
                     channel.refuse_and_close(bad_request(message))
             elif now_s - channel.idle_since_s >= idle_s:
                 channel.close_idle()
+        self._abort_stalled(now_s)
         self._counters.gauge("caller_connections.open", len(self._channels))
 
     def buildProtocol(self, addr: IAddress) -> Protocol | None:  # noqa: N802
@@ -220,11 +236,46 @@
     def on_lost(self, channel: CallerChannel) -> None:
         """Removes a lost connection."""
         self._channels.discard(channel)
+        self._sending.pop(channel, None)
+
+    def on_written(self, channel: CallerChannel, size_bytes: int) -> None:
+        """Counts bytes of an answer until its caller has taken them."""
+        if channel not in self._sending:
+            self._sending[channel] = None
+            channel.progress_s = self.now()
+        self.answer_budget.add_unsent(size_bytes)
 
     def count_refusal(self, refusal: Refusal) -> None:
         """Counts a refusal that bypasses the pipeline."""
         self._counters.increment(f"refusals.{refusal.code.value}")
 
+    def on_answer_blocked(self) -> None:
+        """Counts an answer that is not read on until its caller reads."""
+        self._counters.increment("answers.blocked")
+
+    def _count_buffered(self) -> int:
+        """Returns the bytes in all send buffers, and forgets empty ones."""
+        total_bytes = 0
+        for channel in list(self._sending):
+            buffered_bytes = channel.buffered_bytes
+            total_bytes += buffered_bytes
+            if not buffered_bytes:
+                del self._sending[channel]
+        return total_bytes
+
+    def _abort_stalled(self, now_s: float) -> None:
+        """Ends connections whose callers take nothing of their answers."""
+        unsent_bytes = self.answer_budget.recount()
+        settings = self.settings
+        limit_s = settings.unsent_timeout_s
+        if self.answer_budget.exceeds_hard_limit:
+            limit_s = min(limit_s, settings.pressed_timeout_s)
+        for channel in list(self._sending):
+            if channel.stalled_s(now_s) >= limit_s:
+                self._counters.increment("caller_connections.stalled")
+                channel.transport.abortConnection()
+        self._counters.gauge("answers.unsent_bytes", unsent_bytes)
+
     def call_later(self, delay_s: float, callback: Callable[[], None]) -> Any:
         """Schedules ``callback``; returns its ``IDelayedCall``."""
         return self._reactor.callLater(delay_s, callback)
