Read uploads on while they wait, and count what targets have not read

Callers of large uploads waited for the transfer of most of their body after they had waited for a target, which was occupied meanwhile. And the memory limit of bodies did not count what waits in the send buffers to targets that read slowly.

Cause: reading stopped at the 64 KB that are kept for a retry, until the request was sent; the limit counted held bodies only.

Change: a body is read up to 256 KB while its request waits, within the memory limit; send buffers to targets count toward that limit.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
@@ -1,7 +1,7 @@
 """The request pipeline: from the head of a request to its answer."""
 
-from egretrock_node.protocol.requests._answers import AnswerBudget
 from egretrock_node.protocol.requests._exchange import Exchange
+from egretrock_node.protocol.requests._memory import MemoryBudget
 from egretrock_node.protocol.requests._pipeline import RequestPipeline
 from egretrock_node.protocol.requests._ports import (
     AttemptHandle,
@@ -30,7 +30,6 @@
 
 __all__ = [
     "NO_ORGANISATION",
-    "AnswerBudget",
     "AttemptFailure",
     "AttemptHandle",
     "AttemptListener",
@@ -39,6 +38,7 @@
     "Exchange",
     "FleetPort",
     "IdempotencyPort",
+    "MemoryBudget",
     "OutgoingRequest",
     "PermitPort",
     "PipelineSettings",
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_body.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_body.py
@@ -1,36 +1,14 @@
 """The body of a request on its way from the caller to a target."""
 
-
-class BodyBudget:
-    """Memory budget for all request bodies that the node holds.
-
-    Args:
-        max_bytes: Held bytes above which bodies are no longer kept for a
-            retry once they were sent. At twice as many, bodies are refused.
-    """
-
-    __slots__ = ("_max_bytes", "held_bytes")
-
-    def __init__(self, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
-        self.held_bytes = 0
-
-    @property
-    def exceeds_replay_limit(self) -> bool:
-        """Whether sent bytes must no longer be kept for a retry."""
-        return self.held_bytes > self._max_bytes
-
-    @property
-    def exceeds_hard_limit(self) -> bool:
-        """Whether bodies must be refused."""
-        return self.held_bytes > 2 * self._max_bytes
+from egretrock_node.protocol.requests._memory import MemoryBudget
 
 
 class BodyBuffer:
     """Holds the start of a body, so that it can be sent again on a retry.
 
     A body of at most ``limit_bytes`` is kept until the answer begins. A larger
-    one is dropped as soon as it was sent and cannot be sent again.
+    one is dropped as soon as it was sent and cannot be sent again; while it
+    waits to be sent, it is read up to ``max_waiting_bytes``.
 
     Attributes:
         complete: Whether the whole body has arrived.
@@ -43,14 +21,18 @@
     __slots__ = (
         "_budget",
         "_limit_bytes",
+        "_max_waiting_bytes",
         "complete",
         "held",
         "received_bytes",
         "replayable",
     )
 
-    def __init__(self, limit_bytes: int, budget: BodyBudget) -> None:
+    def __init__(
+        self, limit_bytes: int, max_waiting_bytes: int, budget: MemoryBudget
+    ) -> None:
         self._limit_bytes = limit_bytes
+        self._max_waiting_bytes = max(limit_bytes, max_waiting_bytes)
         self._budget = budget
         self.complete = False
         self.replayable = True
@@ -59,10 +41,22 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether reading should stop until the held bytes were sent."""
+        """Whether the request should be sent although the body is incomplete.
+
+        A target is occupied while it receives a body, so it gets the request
+        only once much of the body can be sent at once.
+        """
         return (
             self.received_bytes >= self._limit_bytes
-            or self._budget.exceeds_replay_limit
+            or self._budget.exceeds_soft_limit
+        )
+
+    @property
+    def must_wait(self) -> bool:
+        """Whether reading should stop until the held bytes were sent."""
+        return (
+            self.received_bytes >= self._max_waiting_bytes
+            or self._budget.exceeds_soft_limit
         )
 
     def add(self, data: bytes, sent: bool) -> None:
@@ -96,5 +90,5 @@
     def _exceeds_limit(self) -> bool:
         return (
             self.received_bytes > self._limit_bytes
-            or self._budget.exceeds_replay_limit
+            or self._budget.exceeds_soft_limit
         )
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_exchange.py
@@ -111,7 +111,9 @@
         self.stage = Stage.BODY
         self.run_state = RunState.NOT_RUN
         self.body = BodyBuffer(
-            pipeline.settings.max_body_buffer_bytes, pipeline.body_budget
+            pipeline.settings.max_body_buffer_bytes,
+            pipeline.settings.max_waiting_body_bytes,
+            pipeline.body_budget,
         )
         self.fingerprint: Fingerprint | None = None
         self.record: RecordKey | None = None
@@ -143,11 +145,13 @@
         self.body.add(data, sending)
         if attempt is not None and sending:
             attempt.last_progress_s = self._pipeline.now()
+            self._pipeline.body_budget.add_unsent(len(data))
             attempt.handle.write(data)
-        elif self.body.is_full:
+            return
+        if self.body.must_wait:
             self._pause_body()
-            if self.stage is Stage.BODY:
-                self._pipeline.on_body_ready(self)
+        if self.stage is Stage.BODY and self.body.is_full:
+            self._pipeline.on_body_ready(self)
 
     def on_body_end(self) -> None:
         """Handles the end of the request's body."""
@@ -358,6 +362,7 @@
 
     def on_held_sent(self) -> None:
         """Called once the head and the held part of the body were sent."""
+        self._pipeline.body_budget.add_unsent(len(self.body.held))
         self.body.on_held_sent()
         self._resume_body()
 
@@ -504,7 +509,7 @@
         if (
             not limit_bytes
             or len(self._held_body) > limit_bytes
-            or self._pipeline.answer_budget.exceeds_read_ahead_limit
+            or self._pipeline.answer_budget.exceeds_soft_limit
         ):
             self._forward_held()
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_answers.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_memory.py
@@ -1,4 +1,4 @@
-"""Memory for answers that callers have not taken yet."""
+"""Memory for the bodies of requests, or of answers, that a node holds."""
 
 from collections.abc import Callable
 
@@ -6,20 +6,21 @@
 _RECOUNT_DIVISOR = 8
 
 
-class AnswerBudget:
-    """Memory budget for all answers that the node holds.
+class MemoryBudget:
+    """Memory budget for all bodies of one kind that the node holds.
 
-    An answer is held while it is incomplete, so that a damaged one can be
-    replaced, and while it waits in the send buffer of its caller.
+    A body uses memory while it is held back, and while it waits in the send
+    buffer of a connection whose peer reads slowly.
 
     Args:
-        max_bytes: Bytes above which answers are neither held back nor read
-            ahead of their callers. At twice as many, requests are refused.
+        max_bytes: Bytes above which bodies are kept no longer than needed:
+            they are read only as fast as they can be sent, and those that
+            were sent are dropped. At twice as many, requests are refused.
 
     Attributes:
-        held_bytes: Bytes that are held back until their answer is complete.
-        count_unsent: Returns the bytes that wait in the callers' send buffers;
-            set by the owner of these buffers.
+        held_bytes: Bytes that are held back.
+        count_unsent: Returns the bytes that wait in the send buffers; set by
+            the owner of the connections.
     """
 
     __slots__ = (
@@ -40,7 +41,7 @@
         self._counted_bytes = 0
 
     def add_unsent(self, size_bytes: int) -> None:
-        """Adds bytes that were written to a caller's send buffer."""
+        """Adds bytes that were written to a send buffer."""
         self._unsent_bytes += size_bytes
 
     def recount(self) -> int:
@@ -49,8 +50,8 @@
         return self.held_bytes + self._unsent_bytes
 
     @property
-    def exceeds_read_ahead_limit(self) -> bool:
-        """Whether answers must be read only as fast as callers take them."""
+    def exceeds_soft_limit(self) -> bool:
+        """Whether bodies must be kept no longer than needed."""
         return self._exceeds(self._max_bytes)
 
     @property
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -52,14 +52,13 @@
     header_values,
     path_contains_key,
 )
-from egretrock_node.protocol.requests._answers import AnswerBudget
-from egretrock_node.protocol.requests._body import BodyBudget
 from egretrock_node.protocol.requests._exchange import (
     Attempt,
     Exchange,
     refusal_not_run,
 )
 from egretrock_node.protocol.requests._in_force import ConfigInForce
+from egretrock_node.protocol.requests._memory import MemoryBudget
 from egretrock_node.protocol.requests._ports import (
     CallerPort,
     CoordinationParts,
@@ -157,8 +156,9 @@
         self.counters: Counters = environment.counters
         self._on_error = environment.on_error
         self.settings = settings
-        self.body_budget = BodyBudget(settings.max_held_body_bytes)
-        self.answer_budget = AnswerBudget(settings.max_answer_bytes)
+        self.body_budget = MemoryBudget(settings.max_held_body_bytes)
+        self.body_budget.count_unsent = lambda: targets.unsent_bytes
+        self.answer_budget = MemoryBudget(settings.max_answer_bytes)
         self._credentials = credentials
         self.protocol = protocol
         self.caller_protocol = caller_protocol or CallerProtocol()
@@ -260,7 +260,8 @@
     def refuse_body(self, exchange: Exchange) -> None:
         """Refuses a request whose body exceeds the node's body budget."""
         self.cancel_pending(exchange, AttemptOutcome.UNUSED)
-        message = f"{self.body_budget.held_bytes} bytes of bodies wait"
+        self.counters.increment("bodies.memory_full")
+        message = f"{self.body_budget.recount()} bytes of bodies wait"
         exchange.refuse(
             Refusal(RefusalCode.QUEUE_FULL, RunState.NOT_RUN, message, 1000)
         )
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -334,6 +334,11 @@
 class TargetPort(Protocol):
     """Connections to targets."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that wait because targets read slowly."""
+        ...
+
     def create_attempt(
         self,
         address: str,
@@ -396,9 +401,13 @@
 
     Attributes:
         data_centre: Data centre of this node.
-        max_body_buffer_bytes: Bytes of one body that are kept for a retry.
-        max_held_body_bytes: Bytes of all held bodies above which no body is
-            kept for a retry; at twice as many, bodies are refused.
+        max_body_buffer_bytes: Bytes of one body that are kept for a retry;
+            a request is sent once as many have arrived.
+        max_waiting_body_bytes: Bytes of one body that are read while its
+            request waits to be sent.
+        max_held_body_bytes: Bytes of all bodies in memory above which no body
+            is kept for a retry or read while it waits; at twice as many,
+            requests whose body is not being sent yet are refused.
         out_grace_s: Seconds for which a node still serves after its data
             centre was taken out of service.
         min_progress_s: Shortest time without progress at a target, in
@@ -415,6 +424,7 @@
 
     data_centre: DataCentreId
     max_body_buffer_bytes: int = 65_536
+    max_waiting_body_bytes: int = 262_144
     max_held_body_bytes: int = 50_000_000
     out_grace_s: float = 5.0
     min_progress_s: float = 1.0
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -58,6 +58,8 @@
 
 
 class FakeTargets:
+    unsent_bytes = 0
+
     def __init__(self):
         self.connecting = False
         self.attempts, self.sent, self.liveness_checks = [], [], []
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -26,6 +26,7 @@
 )
 from egretrock_node.protocol.requests import Exchange
 from egretrock_node.transport._receiving import BoundedChannel
+from egretrock_node.transport._sending import buffered_bytes
 
 if TYPE_CHECKING:
     from egretrock_node.transport.caller._server import CallerServer
@@ -275,10 +276,7 @@
     @property
     def buffered_bytes(self) -> int:
         """Bytes in the send buffer of this process."""
-        transport = self.transport
-        # Twisted has no public interface for the size of the buffer.
-        waiting_bytes = len(transport.dataBuffer) - transport.offset
-        return waiting_bytes + transport._tempDataLen
+        return buffered_bytes(self.transport)
 
     def send(self, pieces: list[bytes]) -> None:
         """Sends parts of an answer."""
@@ -441,7 +439,7 @@
         server = self.server
         return (
             self.buffered_bytes >= server.settings.max_read_ahead_bytes
-            or server.answer_budget.exceeds_read_ahead_limit
+            or server.answer_budget.exceeds_soft_limit
         )
 
     def pause_body(self, paused: bool) -> None:
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -13,7 +13,8 @@
 from egretrock.state.config import split_address
 from egretrock.state.outcome import Refusal, RefusalCode, RunState
 from egretrock_node.protocol.http import bad_request, refusal_answer
-from egretrock_node.protocol.requests import AnswerBudget, RequestPipeline
+from egretrock_node.protocol.requests import MemoryBudget, RequestPipeline
+from egretrock_node.transport._sending import SendBuffers
 from egretrock_node.transport.caller._channel import CallerChannel
 
 
@@ -122,7 +123,7 @@
         clock: Callable[[], float],
         counters: Counters,
         settings: CallerServerSettings,
-        answer_budget: AnswerBudget | None = None,
+        answer_budget: MemoryBudget | None = None,
     ) -> None:
         self._reactor = reactor
         self.pipeline = pipeline
@@ -132,9 +133,9 @@
         self.is_draining = False
         self.refused_count = 0
         self._channels: set[CallerChannel] = set()
-        self._sending: dict[CallerChannel, None] = {}
-        self.answer_budget = answer_budget or AnswerBudget(_DEFAULT_MAX_BYTES)
-        self.answer_budget.count_unsent = self._count_buffered
+        self._sending = SendBuffers()
+        self.answer_budget = answer_budget or MemoryBudget(_DEFAULT_MAX_BYTES)
+        self.answer_budget.count_unsent = self._sending.count
         self._port: IListeningPort | None = None
 
     @property
@@ -236,12 +237,12 @@
     def on_lost(self, channel: CallerChannel) -> None:
         """Removes a lost connection."""
         self._channels.discard(channel)
-        self._sending.pop(channel, None)
+        self._sending.remove(channel)
 
     def on_written(self, channel: CallerChannel, size_bytes: int) -> None:
         """Counts bytes of an answer until its caller has taken them."""
         if channel not in self._sending:
-            self._sending[channel] = None
+            self._sending.add(channel)
             channel.progress_s = self.now()
         self.answer_budget.add_unsent(size_bytes)
 
@@ -253,16 +254,6 @@
         """Counts an answer that is not read on until its caller reads."""
         self._counters.increment("answers.blocked")
 
-    def _count_buffered(self) -> int:
-        """Returns the bytes in all send buffers, and forgets empty ones."""
-        total_bytes = 0
-        for channel in list(self._sending):
-            buffered_bytes = channel.buffered_bytes
-            total_bytes += buffered_bytes
-            if not buffered_bytes:
-                del self._sending[channel]
-        return total_bytes
-
     def _abort_stalled(self, now_s: float) -> None:
         """Ends connections whose callers take nothing of their answers."""
         unsent_bytes = self.answer_budget.recount()
@@ -270,7 +261,7 @@
         limit_s = settings.unsent_timeout_s
         if self.answer_budget.exceeds_hard_limit:
             limit_s = min(limit_s, settings.pressed_timeout_s)
-        for channel in list(self._sending):
+        for channel in self._sending:
             if channel.stalled_s(now_s) >= limit_s:
                 self._counters.increment("caller_connections.stalled")
                 channel.transport.abortConnection()
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_connection.py
@@ -177,6 +177,8 @@
             self.transport.registerProducer(_UploadProducer(attempt), True)
         # A single write costs one system call and one packet.
         self.transport.write(b"".join(lines))
+        if request.body:
+            self._pool.on_body_written(self)
 
     def write_body(self, data: bytes) -> None:
         """Sends a piece of the request's body."""
@@ -184,6 +186,7 @@
             self.transport.writeSequence(toChunk(data))
         else:
             self.transport.write(data)
+        self._pool.on_body_written(self)
 
     def finish_body(self) -> None:
         """Ends the request's body."""
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -20,6 +20,7 @@
     OutgoingRequest,
     PoolObserver,
 )
+from egretrock_node.transport._sending import SendBuffers
 from egretrock_node.transport.target._connection import TargetConnection
 from egretrock_node.transport.target._fetch import (
     DEFAULT_MAX_BODY_BYTES,
@@ -250,6 +251,7 @@
         self.protocol = protocol
         self._idle: dict[str, list[TargetConnection]] = {}
         self._open: dict[str, set[TargetConnection]] = {}
+        self._sending = SendBuffers()
         self._is_closed = False
         self.observer: PoolObserver | None = None
 
@@ -258,6 +260,11 @@
         """Number of open connections, idle and busy."""
         return sum(map(len, self._open.values()))
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that wait because targets read slowly."""
+        return self._sending.count()
+
     def create_attempt(
         self,
         address: str,
@@ -430,8 +437,13 @@
         else:
             connections.append(connection)
 
+    def on_body_written(self, connection: TargetConnection) -> None:
+        """Counts the send buffer of a connection until it is empty."""
+        self._sending.add(connection)
+
     def on_lost(self, connection: TargetConnection) -> None:
         """Removes a lost connection and notifies the observer."""
+        self._sending.remove(connection)
         address = connection.address
         was_idle = False
         connections = self._idle.get(address)
