Let repeats wait where the forecast refuses first attempts

A repeat may have run, so its refusal does not let the caller return.

Change: the forecast of the wait leaves repeats out, and overflow evicts first attempts before them.

--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
@@ -39,6 +39,18 @@
         """Returns the number of waiting requests of a priority."""
         return sum(entry.item.priority == priority for entry in self.backlog)
 
+    def newest_first_attempt(self) -> int:
+        """Returns the index of the newest request that is no repeat.
+
+        Returns:
+            The index, or that of the newest request if all are repeats.
+        """
+        last = len(self.backlog) - 1
+        for back, entry in enumerate(reversed(self.backlog)):
+            if not entry.item.is_repeat:
+                return last - back
+        return last
+
     def positions(self) -> list[tuple[int, int, QueueEntry]]:
         """Returns the waiting requests, the oldest first.
 
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -387,14 +387,16 @@
         left_s = item.deadline_s - now_s
         pace_per_s = queue.pace.per_s(now_s)
         wait_s = 0.0
-        if pace_per_s is not None:
+        # A repeat that is refused may have run, so its caller gains nothing
+        # by an early refusal.
+        if pace_per_s is not None and not item.is_repeat:
             wait_s = self._wait_s(queue, flow, view, entry, position, now_s)
         room = self._fleet_room(item.service, now_s)
-        if room is not None and item.priority:
+        if room is not None and item.priority and not item.is_repeat:
             # Other nodes send requests of higher priorities first.
             wait_s = max(wait_s, room.wait_s(item.priority - 1) or 0.0)
         shortest_s = entry.work.shortest_s
-        if pace_per_s is not None:
+        if pace_per_s is not None and not item.is_repeat:
             shortest_s = max(shortest_s, MIN_SLOT_SHARE * entry.estimate_s)
         if FORECAST_SHARE * wait_s + shortest_s <= left_s:
             return None
@@ -494,7 +496,6 @@
     def _evict(self, queue: ServiceQueue, now_s: float) -> QueuedRequest:
         """Removes and returns the request that gives way on overflow."""
         organisations: Collection[OrganisationId] = queue.active_organisations
-        index = -1
         if queue.has_several_priorities:
             costs = _eviction_costs(queue, now_s)
             least = min(cost for cost, _ in costs.values())
@@ -503,9 +504,11 @@
             organisations,
             key=lambda o: queue.flows[o].backlog_s / queue.flows[o].weight,
         )
+        flow = queue.flows[organisation]
         if queue.has_several_priorities:
             index = costs[organisation][1]
-        flow = queue.flows[organisation]
+        else:
+            index = flow.newest_first_attempt()
         evicted = flow.pop_at(index)
         queue.on_removed(evicted)
         if not flow.backlog:
@@ -622,7 +625,7 @@
         for index, entry in enumerate(queue.flows[organisation].backlog):
             item = entry.item
             rank = -1 if item.priority == neglected else item.priority
-            cost = (-entry.prospect(now_s), -rank, not item.is_repeat)
+            cost = (item.is_repeat, -entry.prospect(now_s), -rank)
             candidates.append((cost, -entry.work.typical_s, -index))
         cost, _, negative_index = min(candidates)
         costs[organisation] = (cost, -negative_index)
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/priorities.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/priorities.feature
@@ -110,6 +110,27 @@
     When one request of priority 0 arrives
     Then long was evicted
 
+  Scenario: Overflow evicts first attempts, whose callers may return, before repeats
+    Given a queue of 2 and the requests
+      | name   | priority | objective | deadline | repeat |
+      | plain  | 1        | 1.0       | 2.0      | no     |
+      | repeat | 2        | 0.1       | 1.0      | yes    |
+    When one request of priority 0 arrives
+    Then plain was evicted
+
+  Scenario: Overflow refuses the newest first attempt where priorities are equal
+    Given a queue of 2 and the requests
+      | name   | priority | objective | deadline | repeat |
+      | plain  | 1        | 1.0       | 2.0      | no     |
+      | repeat | 1        | 0.1       | 1.0      | yes    |
+      | newest | 1        | 1.0       | 2.0      | no     |
+    Then newest was refused on arrival and plain, repeat wait
+
+  Scenario: A repeat waits though the forecast refuses first attempts
+    Given a service that takes 2 requests a second while 30 wait
+    Then a repeat with a deadline of 2.0 waits
+    And a request of priority 0 with a deadline of 2.0 is refused with a time to return
+
   Scenario: An organisation's burst does not evict others of its priority
     Given a queue of 100 with 5 requests of each of 8 organisations and one urgent request
     When one of the organisations offers 500 more requests
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/priorities_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/priorities_steps.py
@@ -322,3 +322,28 @@
 @when("a usual slot was offered just before")
 def step_usual_slot(context):
     context.queue._services[SERVICE].slots.on_slot(1.0, context.now_s)
+
+
+@given("a service that takes {per_s:d} requests a second while {count:d} wait")
+def step_slow_service(context, per_s, count):
+    make_queue(context)
+    for number in range(count):
+        offer(context, str(number), 0, 90.0, 99.0)
+    for _ in range(per_s):
+        context.now_s += 1.0 / per_s
+        assert take(context) is not None
+
+
+@then("a repeat with a deadline of {deadline_s:g} waits")
+def step_repeat_waits(context, deadline_s):
+    result = offer(context, "repeat", 0, 1.0, deadline_s, is_repeat=True)
+    assert result.is_ok(), result
+    context.queue.expire(context.now_s)
+    assert not context.queue.take_evicted()
+
+
+@then("{refused} was refused on arrival and {names} wait")
+def step_refused_on_arrival(context, refused, names):
+    assert context.results[refused].is_error()
+    waiting = {take(context) for _ in names.split(", ")}
+    assert waiting == set(names.split(", ")), waiting
