--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
@@ -1,5 +1,6 @@
 """Requests of one service that wait, by organisation."""
 
+import bisect
 import collections
 import math
 
@@ -157,7 +158,7 @@
         feasible: For each priority and organisation, the organisation's flow
             and its number of requests that can meet their objective.
         feasible_count: Sum of those requests.
-        late: Priorities and deadlines of the other requests.
+        late: Priorities and deadlines of the other requests, sorted.
     """
 
     feasible: dict[int, dict[OrganisationId, tuple[Flow, int]]]
@@ -193,7 +194,7 @@
     def count_late_before(self, entry: QueueEntry) -> int:
         """Returns how many late requests go before a late one."""
         own = (entry.item.priority, entry.item.deadline_s)
-        return sum(other < own for other in self.late)
+        return bisect.bisect_left(self.late, own)
 
 
 def view_queue(queue: ServiceQueue, now_s: float) -> QueueView:
@@ -212,4 +213,5 @@
             flows = view.feasible.setdefault(priority, {})
             flows[organisation] = (flow, count)
             view.feasible_count += count
+    view.late.sort()
     return view
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_forecast.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_forecast.py
@@ -14,6 +14,8 @@
 _MAX_RETURN_SHARE = 1 / 3
 #: Takes at the usual rate that fail to come in a stall; fewer are chance.
 _MIN_MISSED_TAKES = 8.0
+#: Shortest stall; a service that became slower has shorter gaps.
+_MIN_STALL_S = 0.2
 #: A stall is forecast to last at most this many times as long as it has lasted.
 _STALL_FACTOR = 4.0
 _MIN_RETURN_S = 0.05
@@ -84,6 +86,8 @@
         if self._busy_since_s is None or self._usual_per_s <= 0:
             return None
         stall_s = now_s - max(self._last_take_s, self._busy_since_s)
+        if stall_s < _MIN_STALL_S:
+            return None
         missed_count = stall_s * self._usual_per_s
         return stall_s if missed_count >= _MIN_MISSED_TAKES else None
 
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -680,8 +680,9 @@
         for ticket, until_s in list(self._declined_until_s.items()):
             if now_s < until_s:
                 return
-            del self._declined_until_s[ticket]
-            self._ask_permit(self._awaiting_permit[ticket], now_s)
+            # An earlier one of these permits may have ended the request.
+            if self._declined_until_s.pop(ticket, None) is not None:
+                self._ask_permit(self._awaiting_permit[ticket], now_s)
 
     # Checks that are repeated before each step.
 
