--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -28,6 +28,10 @@
     ServiceQueue,
     view_queue,
 )
+from egretrock.coordination.queueing._order import (
+    eviction_costs,
+    slot_choices,
+)
 from egretrock.coordination.queueing._ranks import MIN_SERVED_SHARE
 from egretrock.coordination.queueing._requests import (
     Prospect,
@@ -71,10 +75,6 @@
 #: used in any case, as the expected slowdown may be wrong.
 MAX_DECLINED_S = 0.25
 
-#: Time after which a request that leaves a slow slot to others may get a
-#: faster one.
-FASTER_SLOT_WAIT_S = 0.05
-
 #: Returns the room of a service over all nodes, or None if it is not known.
 FleetRoom = Callable[[ServiceId, float], ServiceRoom | None]
 
@@ -256,7 +256,7 @@
         declined_s = queue.declined_since_s
         if declined_s is not None and now_s - declined_s >= MAX_DECLINED_S:
             slowdown = min(slowdown, 1.0)
-        choices = _choices(queue, now_s, slowdown, target)
+        choices = slot_choices(queue, now_s, slowdown, target)
         if not choices:
             if declined_s is None:
                 queue.declined_since_s = now_s
@@ -497,7 +497,7 @@
         """Removes and returns the request that gives way on overflow."""
         organisations: Collection[OrganisationId] = queue.active_organisations
         if queue.has_several_priorities:
-            costs = _eviction_costs(queue, now_s)
+            costs = eviction_costs(queue, now_s)
             least = min(cost for cost, _ in costs.values())
             organisations = [o for o in costs if costs[o][0] == least]
         organisation = max(
@@ -540,98 +540,6 @@
     return average + ESTIMATE_WEIGHT * (sample - average)
 
 
-def _choices(
-    queue: ServiceQueue,
-    now_s: float,
-    slowdown: float,
-    target: TargetId | None,
-) -> dict[OrganisationId, int]:
-    """Returns the requests among which the turn of organisations decides.
-
-    Args:
-        queue: Queue of the service.
-        now_s: Time.
-        slowdown: Expected time to completion relative to the usual.
-        target: Target of the slot, or None.
-
-    Returns:
-        For each organisation that has one, the index of its request.
-    """
-    is_mixed = queue.has_several_priorities
-    neglected = queue.rates.neglected(now_s) if is_mixed else None
-    usual = queue.slots.least_slowdown(now_s)
-    best: tuple[int, int, bool] | None = None
-    choices: dict[OrganisationId, int] = {}
-    for organisation in queue.active_organisations:
-        backlog = queue.flows[organisation].backlog
-        for index, entry in enumerate(backlog):
-            item = entry.item
-            if target in item.excluded:
-                continue
-            prospect = entry.prospect(now_s, slowdown)
-            if prospect is Prospect.TOO_LATE or (
-                prospect is Prospect.LATE
-                and _waits_for_faster(entry, now_s, slowdown, usual)
-            ):
-                continue
-            rank = -1 if item.priority == neglected else item.priority
-            order = (prospect.value, rank, item.is_repeat)
-            if best is None or order < best:
-                best, choices = order, {organisation: index}
-            elif order == best:
-                chosen = choices.setdefault(organisation, index)
-                if (
-                    is_mixed
-                    and entry.latest_start_s()
-                    < backlog[chosen].latest_start_s()
-                ):
-                    choices[organisation] = index
-            if not (is_mixed or prospect or item.is_repeat):
-                # No later request of this organisation goes before it.
-                break
-    return choices
-
-
-def _waits_for_faster(
-    entry: QueueEntry, now_s: float, slowdown: float, usual: float
-) -> bool:
-    """Returns whether a request should leave a slow slot to others.
-
-    It may still be in time at a slot as fast as recent ones. It takes the slow
-    one at the last moment at which it probably ends there by its deadline.
-    """
-    later_s = now_s + FASTER_SLOT_WAIT_S
-    end_s = now_s + slowdown * entry.work.typical_s
-    is_last_moment = end_s <= entry.item.deadline_s < end_s + FASTER_SLOT_WAIT_S
-    return (
-        entry.prospect(later_s, usual) is Prospect.IN_TIME
-        and not is_last_moment
-    )
-
-
-def _eviction_costs(
-    queue: ServiceQueue, now_s: float
-) -> dict[OrganisationId, tuple[tuple[float, ...], int]]:
-    """Returns the request of each organisation that costs its caller least.
-
-    Returns:
-        For each organisation the cost, by which requests of all organisations
-        compare, and the index of the request.
-    """
-    neglected = queue.rates.neglected(now_s)
-    costs = {}
-    for organisation in queue.active_organisations:
-        candidates = []
-        for index, entry in enumerate(queue.flows[organisation].backlog):
-            item = entry.item
-            rank = -1 if item.priority == neglected else item.priority
-            cost = (item.is_repeat, -entry.prospect(now_s), -rank)
-            candidates.append((cost, -entry.work.typical_s, -index))
-        cost, _, negative_index = min(candidates)
-        costs[organisation] = (cost, -negative_index)
-    return costs
-
-
 def _retry_after_ms(
     queue: ServiceQueue,
     item: QueuedRequest,
