--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
@@ -1,5 +1,6 @@
 """Requests of one service that wait, by organisation."""
 
+import bisect
 import collections
 import math
 
@@ -39,6 +40,18 @@
         """Returns the number of waiting requests of a priority."""
         return sum(entry.item.priority == priority for entry in self.backlog)
 
+    def newest_first_attempt(self) -> int:
+        """Returns the index of the newest request that is no repeat.
+
+        Returns:
+            The index, or that of the newest request if all are repeats.
+        """
+        last = len(self.backlog) - 1
+        for back, entry in enumerate(reversed(self.backlog)):
+            if not entry.item.is_repeat:
+                return last - back
+        return last
+
     def positions(self) -> list[tuple[int, int, QueueEntry]]:
         """Returns the waiting requests, the oldest first.
 
@@ -145,7 +158,7 @@
         feasible: For each priority and organisation, the organisation's flow
             and its number of requests that can meet their objective.
         feasible_count: Sum of those requests.
-        late: Priorities and deadlines of the other requests.
+        late: Priorities and deadlines of the other requests, sorted.
     """
 
     feasible: dict[int, dict[OrganisationId, tuple[Flow, int]]]
@@ -181,7 +194,7 @@
     def count_late_before(self, entry: QueueEntry) -> int:
         """Returns how many late requests go before a late one."""
         own = (entry.item.priority, entry.item.deadline_s)
-        return sum(other < own for other in self.late)
+        return bisect.bisect_left(self.late, own)
 
 
 def view_queue(queue: ServiceQueue, now_s: float) -> QueueView:
@@ -200,4 +213,5 @@
             flows = view.feasible.setdefault(priority, {})
             flows[organisation] = (flow, count)
             view.feasible_count += count
+    view.late.sort()
     return view
