--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_work_times.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_work_times.py
@@ -18,9 +18,9 @@
         >>> work = WorkTimes()
         >>> work.expected_s("status") is None
         True
-        >>> work.on_answer("status", 0.3, 1.5)
+        >>> work.on_answer("status", 0.5, 2.0)
         >>> work.expected_s("status")
-        0.2
+        0.25
     """
 
     def __init__(self) -> None:
