--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -488,3 +488,29 @@
     statuses = [status_of(e.caller)[0] for e in context.exchanges]
     assert statuses == [503, 503]
     assert context.pipeline.in_flight_count == 0
+
+
+@when(
+    "a read is answered after {work_s:g} s, then another read and a payout"
+    " arrive"
+)
+def step_stakes(context, work_s):
+    start(context)
+    attempt = context.targets.attempts[-1]
+    attempt.send()
+    context.now_s += work_s
+    attempt.answer()
+    start(context)
+    start(context, b"/payouts", b"POST", body=b"a")
+
+
+@then(
+    "permits are asked for with a work of {work_s:g} s for a repeatable"
+    " request, and of unknown time for one that may run once"
+)
+def step_stakes_asked(context, work_s):
+    first, read, payout = context.parts.permits.stakes
+    assert first.work_s is None and first.is_repeatable, first
+    assert read.is_repeatable and abs(read.work_s - work_s) < 1e-6, read
+    assert read.deadline_s == read.objective_s == context.now_s + 10.0, read
+    assert not payout.is_repeatable and payout.work_s is None, payout
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/steps/target_steps.py
@@ -145,6 +145,23 @@
     assert first is not second
 
 
+@then(
+    "the pool has an idle connection only between an answer and {pause_s:g} s"
+    " after it"
+)
+def step_idle_known(context, pause_s):
+    node, target = context.harness, context.harness.targets[0]
+
+    def has_idle():
+        return in_reactor(node.pool.has_idle_connection, target.address)
+
+    assert not has_idle()
+    assert node.caller().status(GET + b"\r\n") == 200
+    assert has_idle()
+    time.sleep(pause_s)
+    assert not has_idle()
+
+
 #: Start of an answer, and the bytes that follow it without end.
 ENDLESS_ANSWERS = {
     "a status line": (b"HTTP/1.1 200 ", b"O" * 4096),
--- a/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/tests/target.feature
@@ -45,6 +45,10 @@
     When a request is answered and another follows after 0.9 seconds
     Then the second request is sent on a new connection
 
+  Scenario: The pool tells which targets have an idle connection
+    Given a target that keeps idle connections for 1 second
+    Then the pool has an idle connection only between an answer and 0.9 s after it
+
   Scenario: A caller that disconnects cancels its request
     Then the target's connection is closed, both before and during the answer
 
