--- a/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_readings.py
@@ -3,7 +3,6 @@
 import msgspec
 
 from egretrock.coordination.bounds import LimitReport
-from egretrock.state.config import Target
 from egretrock.state.ids import InstanceId, ServiceId, TargetId
 
 #: Weight of one outcome in the moving average of the failure rate.
@@ -14,13 +13,6 @@
 #: probe unanswered.
 _MIN_BACKOFF_S = 0.1
 _MAX_BACKOFF_S = 1.0
-#: Relative slowdown of a target whose slots are all in use. It is between 0
-#: and 0.7 depending on the service; half of that is enough to decide between
-#: two targets that are otherwise equal.
-_MAX_CONTENTION = 0.35
-#: Cost of a failed attempt, in units of the usual service time: the attempt
-#: itself, and a retry that is less likely to meet the deadline.
-_FAILURE_COST = 4.0
 
 
 class LoadReading(msgspec.Struct, frozen=True):
@@ -67,6 +59,25 @@
     timeout_s: float
 
 
+class _DecayingRate:
+    """Moving average of outcomes that decays with time."""
+
+    def __init__(self) -> None:
+        self._rate = 0.0
+        self._updated_s = 0.0
+
+    def add(self, is_counted: bool, now_s: float) -> None:
+        previous = self.value(now_s)
+        self._rate = previous + _FAILURE_WEIGHT * (is_counted - previous)
+        self._updated_s = now_s
+
+    def value(self, now_s: float) -> float:
+        if self._rate == 0.0:
+            return 0.0
+        age_s = max(0.0, now_s - self._updated_s)
+        return self._rate * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
+
+
 class TargetStats:
     """Statistics of one target that a node keeps between probes.
 
@@ -81,8 +92,8 @@
         self.read_at_s = float("-inf")
         self.next_probe_s = float("-inf")
         self._backoff_s = _MIN_BACKOFF_S
-        self._failure_rate = 0.0
-        self._failure_rate_updated_s = 0.0
+        self._failures = _DecayingRate()
+        self._losses = _DecayingRate()
         self._unreported_sent_s: list[float] = []
 
     def on_reading(
@@ -124,59 +135,21 @@
         """
         return len(self._unreported_sent_s)
 
-    def on_outcome(self, failed: bool, now_s: float) -> None:
-        """Updates the failure rate with the outcome of a request."""
-        previous_rate = self.failure_rate(now_s)
-        self._failure_rate = previous_rate + _FAILURE_WEIGHT * (
-            float(failed) - previous_rate
-        )
-        self._failure_rate_updated_s = now_s
-
-    def failure_rate(self, now_s: float) -> float:
-        """Returns the decaying average of failures, from 0 to 1."""
-        if self._failure_rate == 0.0:
-            return 0.0
-        age_s = max(0.0, now_s - self._failure_rate_updated_s)
-        return self._failure_rate * 0.5 ** (age_s / _FAILURE_HALF_LIFE_S)
+    def on_outcome(self, failed: bool, lost: bool, now_s: float) -> None:
+        """Updates the failure rates with the outcome of a request.
 
+        Args:
+            failed: Whether the attempt failed.
+            lost: Whether it failed after it may have run.
+            now_s: Time.
+        """
+        self._failures.add(failed, now_s)
+        self._losses.add(lost, now_s)
 
-class Candidate(msgspec.Struct):
-    """A target that a request may be sent to, with its expected cost.
-
-    Attributes:
-        id: Target.
-        target: Configuration of the target.
-        reading: Last load reading.
-        occupancy: Requests running, queued, or sent since the reading.
-        failure_rate: Recent share of failures, from 0 to 1.
-    """
-
-    id: TargetId
-    target: Target
-    reading: LoadReading
-    occupancy: int
-    failure_rate: float = 0.0
-
-    @property
-    def free_slots(self) -> int:
-        """Number of unused slots."""
-        return max(0, self.reading.slots - self.occupancy)
-
-    def cost(self) -> float:
-        """Returns the expected completion time of one more request.
+    def failure_rate(self, now_s: float) -> float:
+        """Returns the recent share of failures, from 0 to 1."""
+        return self._failures.value(now_s)
 
-        The unit is the usual service time. The factors are the relative service
-        time of the target, its queue divided by its slots, the slowdown of
-        nearly full targets, and the expected cost of failed attempts.
-        """
-        utilization = min(1.0, (self.occupancy + 1) / self.reading.slots)
-        contention = 1.0 + _MAX_CONTENTION * utilization * utilization
-        queue_length = max(0, self.occupancy + 1 - self.reading.slots)
-        queueing = 1.0 + queue_length / self.reading.slots
-        expected_attempts = 1.0 + _FAILURE_COST * self.failure_rate
-        return (
-            self.reading.relative_service_time
-            * queueing
-            * contention
-            * expected_attempts
-        )
+    def loss_rate(self, now_s: float) -> float:
+        """Returns the recent share of failures that may have run."""
+        return self._losses.value(now_s)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -12,13 +12,14 @@
     BeginResult,
     record_key,
 )
-from egretrock.coordination.queueing import QueuedRequest
+from egretrock.coordination.queueing import CallerAges, QueuedRequest
 from egretrock.coordination.retries import FailedAttempt, RetryState
 from egretrock.coordination.targets import (
     Assignment,
     AttemptOutcome,
     AttemptResult,
     Permit,
+    RequestStake,
 )
 from egretrock.state.config import (
     Access,
@@ -52,13 +53,13 @@
     header_values,
     path_contains_key,
 )
-from egretrock_node.protocol.requests._body import BodyBudget
 from egretrock_node.protocol.requests._exchange import (
     Attempt,
     Exchange,
     refusal_not_run,
 )
 from egretrock_node.protocol.requests._in_force import ConfigInForce
+from egretrock_node.protocol.requests._memory import MemoryBudget
 from egretrock_node.protocol.requests._ports import (
     CallerPort,
     CoordinationParts,
@@ -85,6 +86,7 @@
     RequestSnapshot,
     Stage,
 )
+from egretrock_node.protocol.requests._work_times import WorkTimes
 
 _log = logbook.Logger("egretrock.requests")
 _MAX_IDEMPOTENCY_KEY_BYTES = 255
@@ -102,6 +104,9 @@
 _MAX_TOKEN_WAITERS = 500
 #: A request is sent in a drain only if this many mean slot times are left.
 _DRAIN_SLOT_TIMES = 3.0
+#: Delay after which another permit is requested for a request that could not
+#: use one. It bounds the rate of the probes that a slow service causes.
+_PERMIT_RETRY_S = 0.02
 _OUTCOME_BY_REASON = {
     RetryReason.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
     RetryReason.CONNECTION_LOST: AttemptOutcome.LOST,
@@ -156,7 +161,9 @@
         self.counters: Counters = environment.counters
         self._on_error = environment.on_error
         self.settings = settings
-        self.body_budget = BodyBudget(settings.max_held_body_bytes)
+        self.body_budget = MemoryBudget(settings.max_held_body_bytes)
+        self.body_budget.count_unsent = lambda: targets.unsent_bytes
+        self.answer_budget = MemoryBudget(settings.max_answer_bytes)
         self._credentials = credentials
         self.protocol = protocol
         self.caller_protocol = caller_protocol or CallerProtocol()
@@ -164,6 +171,8 @@
         self._tickets = itertools.count(1)
         self._awaiting_permit: dict[TicketId, Exchange] = {}
         self._queued: dict[TicketId, Exchange] = {}
+        #: Tickets whose permits were declined, and when to request others.
+        self._declined_until_s: dict[TicketId, float] = {}
         self._token_waiters: dict[
             OrganisationId, collections.deque[Exchange]
         ] = {}
@@ -176,6 +185,8 @@
         self._instances: dict[TargetId, InstanceId] = {}
         self._suspicions = CrashSuspicions()
         self._slot_time_s: dict[ServiceId, float] = {}
+        self._caller_ages = CallerAges()
+        self._work_times = WorkTimes()
         self._refuses_new = False
         self._refuses_from_s = self._serves_until_s = float("inf")
         self._is_polling_permits = False
@@ -212,6 +223,7 @@
                 self._on_error("request", error)
         self._parts.queue.expire(now_s)
         self._refuse_evicted()
+        self._request_declined_again(now_s)
         self.poll(now_s)
 
     def _check_time(self, exchange: Exchange, now_s: float) -> None:
@@ -258,7 +270,8 @@
     def refuse_body(self, exchange: Exchange) -> None:
         """Refuses a request whose body exceeds the node's body budget."""
         self.cancel_pending(exchange, AttemptOutcome.UNUSED)
-        message = f"{self.body_budget.held_bytes} bytes of bodies wait"
+        self.counters.increment("bodies.memory_full")
+        message = f"{self.body_budget.recount()} bytes of bodies wait"
         exchange.refuse(
             Refusal(RefusalCode.QUEUE_FULL, RunState.NOT_RUN, message, 1000)
         )
@@ -320,7 +333,11 @@
         exchange.deadline_s = now_s + deadline_ms / 1000
         exchange.objective_s = exchange.deadline_s
         if match.route.target_latency_ms is not None:
-            exchange.objective_s = now_s + match.route.target_latency_ms / 1000
+            exchange.objective_s = (
+                now_s
+                + match.route.target_latency_ms / 1000
+                - self._caller_age_s(exchange)
+            )
         if match.route.access is Access.KEYED:
             if key is None:
                 message = "the route needs a key and the request has none"
@@ -334,6 +351,13 @@
             return refusal
         return self._read_record_key(exchange)
 
+    def _caller_age_s(self, exchange: Exchange) -> float:
+        """Returns the seconds since the first attempt of a caller."""
+        left_ms = exchange.caller_deadline_ms
+        if left_ms is None:
+            return 0.0
+        return self._caller_ages.age_s(exchange.match.id, left_ms)
+
     def _check_node(self, exchange: Exchange, now_s: float) -> Refusal | None:
         fleet = self._parts.fleet
         if not fleet.is_fresh(now_s):
@@ -345,6 +369,15 @@
             and exchange.deadline_s > self._serves_until_s
         ):
             return NODE_STOPPING
+        if self.answer_budget.exceeds_hard_limit:
+            self.counters.increment("answers.memory_full")
+            message = (
+                f"{self.answer_budget.recount()} bytes of answers wait for"
+                " callers that read slowly"
+            )
+            return Refusal(
+                RefusalCode.QUEUE_FULL, RunState.NOT_RUN, message, 1000
+            )
         out_since_s = self._config_in_force.out_since_s
         if (
             out_since_s is not None
@@ -519,6 +552,11 @@
             organisation=exchange.organisation or NO_ORGANISATION,
             deadline_s=exchange.deadline_s,
             objective_s=exchange.objective_s,
+            priority=self._priority_of(exchange),
+            route=exchange.match.id,
+            is_repeat=exchange.attempt_count > 0,
+            is_charged=exchange.must_report_slot_time,
+            excluded=exchange.excluded,
         )
         queue = self._parts.queue
         offered = queue.offer(item, now_s)
@@ -533,6 +571,15 @@
         if not exchange.is_done:
             self._ask_permit(exchange, now_s)
 
+    def _priority_of(self, exchange: Exchange) -> int:
+        """Returns the priority of the organisation, else of the route."""
+        config = self._parts.fleet.config()
+        if config is not None and exchange.organisation is not None:
+            organisation = config.organisations.get(exchange.organisation)
+            if organisation is not None and organisation.priority is not None:
+                return organisation.priority
+        return exchange.match.route.priority
+
     def _refuse_evicted(self) -> None:
         """Refuses the requests that the queue has evicted."""
         queue = self._parts.queue
@@ -553,10 +600,22 @@
                 exchange.excluded,
                 exchange.deadline_s,
                 now_s,
+                self._stake_of(exchange),
             )
         )
         self._poll_permits(now_s)
 
+    def _stake_of(self, exchange: Exchange) -> RequestStake:
+        """Returns what the choice of a target takes into account."""
+        match = exchange.match
+        return RequestStake(
+            is_repeatable=exchange.is_idempotent and exchange.body.replayable,
+            objective_s=exchange.objective_s,
+            deadline_s=exchange.deadline_s,
+            work_s=self._work_times.expected_s(match.id),
+            priority=match.route.priority,
+        )
+
     def _poll_permits(self, now_s: float) -> None:
         """Assigns the permits that have arrived to waiting requests.
 
@@ -578,7 +637,7 @@
     def _on_assignment(self, assignment: Assignment, now_s: float) -> None:
         exchange = self._awaiting_permit.pop(assignment.ticket, None)
         if exchange is not None and exchange.queue_ticket is not None:
-            exchange = self._next_queued(exchange, now_s)
+            exchange = self._next_queued(exchange, assignment.permit, now_s)
         if exchange is None:
             unused = AttemptResult(AttemptOutcome.UNUSED)
             self._send(
@@ -598,22 +657,26 @@
         attempt.handle.start()
 
     def _next_queued(
-        self, requester: Exchange, now_s: float
+        self, requester: Exchange, permit: Permit, now_s: float
     ) -> Exchange | None:
-        """Returns the request that the fair queue serves next.
+        """Returns the request that the queue serves next, or None.
 
         The returned request uses the permit that was granted for the ticket
         of ``requester``. In exchange ``requester`` waits on with the ticket of
-        the returned request.
+        the returned request. If no request can use the permit, ``requester``
+        waits on for another one.
         """
         service = requester.match.route.service
-        while item := self._parts.queue.take(service, now_s):
+        while item := self._parts.queue.take(
+            service, now_s, permit.expected_slowdown, permit.target
+        ):
             chosen = self._queued.pop(item.ticket, None)
             if chosen is None:
                 # The caller has disconnected, so no slot time was used.
-                self._parts.queue.report_slot_time(
-                    item.organisation, service, 0.0
-                )
+                if not item.is_charged:
+                    self._parts.queue.report_slot_time(
+                        item.organisation, service, 0.0
+                    )
                 continue
             chosen.queue_ticket = None
             chosen.must_report_slot_time = True
@@ -621,11 +684,32 @@
                 requester.ticket = chosen.ticket
                 self._awaiting_permit[requester.ticket] = requester
             return chosen
-        # The queue dropped the requester at its deadline.
-        requester.ticket = None
-        requester.refuse(DEADLINE_EXCEEDED)
+        if now_s >= requester.deadline_s:
+            # The queue dropped the requester at its deadline.
+            requester.ticket = None
+            requester.refuse(DEADLINE_EXCEEDED)
+            return None
+        _log.debug(
+            "permit declined",
+            extra={
+                "service": service,
+                "target": permit.target,
+                "slowdown": round(permit.expected_slowdown, 2),
+                "left_ms": round((requester.deadline_s - now_s) * 1000),
+            },
+        )
+        self._awaiting_permit[requester.ticket] = requester
+        self._declined_until_s[requester.ticket] = now_s + _PERMIT_RETRY_S
         return None
 
+    def _request_declined_again(self, now_s: float) -> None:
+        """Requests permits for the requests whose last one was declined."""
+        for ticket, until_s in list(self._declined_until_s.items()):
+            if now_s < until_s:
+                return
+            del self._declined_until_s[ticket]
+            self._ask_permit(self._awaiting_permit[ticket], now_s)
+
     # Checks that are repeated before each step.
 
     def prepare_dispatch(
@@ -745,6 +829,7 @@
             del self._instances[target]
         for service in self._slot_time_s.keys() - config.services.keys():
             del self._slot_time_s[service]
+        self._work_times.retain(config.routes.keys())
 
     # Events of attempts and exchanges.
 
@@ -811,6 +896,14 @@
         exchange.attempt = None
         self._return_permit(exchange, attempt, result, now_s)
         service = exchange.match.route.service
+        if result.outcome is AttemptOutcome.OK:
+            self._parts.queue.report_work(
+                service,
+                exchange.match.id,
+                result.latency_s,
+                attempt.permit.expected_slowdown,
+                now_s,
+            )
         mean_s = self._slot_time_s.get(service, result.latency_s)
         self._slot_time_s[service] = mean_s + _SLOT_TIME_WEIGHT * (
             result.latency_s - mean_s
@@ -967,8 +1060,7 @@
         self, exchange: Exchange, attempt: Attempt, now_s: float
     ) -> None:
         exchange.excluded |= {attempt.permit.target}
-        self._new_ticket(exchange)
-        self._ask_permit(exchange, now_s)
+        self._enqueue(exchange, now_s)
 
     def cancel_pending(
         self, exchange: Exchange, outcome: AttemptOutcome
@@ -976,8 +1068,13 @@
         """Removes a request from all queues and abandons its attempt."""
         now_s = self.now()
         if exchange.ticket is not None:
-            if self._awaiting_permit.pop(exchange.ticket, None) is not None:
-                self._send(self._parts.permits.cancel(exchange.ticket, now_s))
+            ticket = exchange.ticket
+            is_declined = self._declined_until_s.pop(ticket, None) is not None
+            if (
+                self._awaiting_permit.pop(ticket, None) is not None
+                and not is_declined
+            ):
+                self._send(self._parts.permits.cancel(ticket, now_s))
             exchange.ticket = None
         if exchange.queue_ticket is not None:
             self._queued.pop(exchange.queue_ticket, None)
@@ -1073,7 +1170,7 @@
 
         Its permit is returned.
         """
-        attempt.is_active = False
+        attempt.end()
         exchange.attempt = None
         self._return_permit(exchange, attempt, attempt.result(outcome), now_s)
 
@@ -1086,6 +1183,12 @@
     ) -> None:
         self._send(self._parts.permits.finish(attempt.permit, result, now_s))
         exchange.slot_time_s += result.latency_s
+        if result.outcome is AttemptOutcome.OK:
+            self._work_times.on_answer(
+                exchange.match.id,
+                result.latency_s,
+                attempt.permit.expected_slowdown,
+            )
 
     def _new_ticket(self, exchange: Exchange) -> TicketId:
         ticket = TicketId(next(self._tickets))
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -21,7 +21,12 @@
     RetryDecision,
     RetryState,
 )
-from egretrock.coordination.targets import Assignment, AttemptResult, Permit
+from egretrock.coordination.targets import (
+    Assignment,
+    AttemptResult,
+    Permit,
+    RequestStake,
+)
 from egretrock.state.config import PublishedConfig
 from egretrock.state.ids import (
     AttemptId,
@@ -29,6 +34,7 @@
     Fingerprint,
     InstanceId,
     OrganisationId,
+    RouteId,
     ServiceId,
     TargetId,
     TicketId,
@@ -89,8 +95,29 @@
         """Puts a request into the queue, or refuses it."""
         ...
 
-    def take(self, service: ServiceId, now_s: float) -> QueuedRequest | None:
-        """Removes and returns the next request, or None if none waits."""
+    def take(
+        self,
+        service: ServiceId,
+        now_s: float,
+        slowdown: float = 1.0,
+        target: TargetId | None = None,
+    ) -> QueuedRequest | None:
+        """Removes and returns the next request that can use a slot.
+
+        Returns:
+            The request, or None if no waiting request can use the slot.
+        """
+        ...
+
+    def report_work(
+        self,
+        service: ServiceId,
+        route: RouteId,
+        work_s: float,
+        slowdown: float,
+        now_s: float,
+    ) -> None:
+        """Records how long a target worked on a request of a route."""
         ...
 
     def report_slot_time(
@@ -126,6 +153,7 @@
         excluded: frozenset[TargetId],
         deadline_s: float,
         now_s: float,
+        stake: RequestStake | None = None,
     ) -> list[Outbound]:
         """Requests a permit for a waiting request."""
         ...
@@ -334,6 +362,11 @@
 class TargetPort(Protocol):
     """Connections to targets."""
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that wait because targets read slowly."""
+        ...
+
     def create_attempt(
         self,
         address: str,
@@ -396,9 +429,13 @@
 
     Attributes:
         data_centre: Data centre of this node.
-        max_body_buffer_bytes: Bytes of one body that are kept for a retry.
-        max_held_body_bytes: Bytes of all held bodies above which no body is
-            kept for a retry; at twice as many, bodies are refused.
+        max_body_buffer_bytes: Bytes of one body that are kept for a retry;
+            a request is sent once as many have arrived.
+        max_waiting_body_bytes: Bytes of one body that are read while its
+            request waits to be sent.
+        max_held_body_bytes: Bytes of all bodies in memory above which no body
+            is kept for a retry or read while it waits; at twice as many,
+            requests whose body is not being sent yet are refused.
         out_grace_s: Seconds for which a node still serves after its data
             centre was taken out of service.
         min_progress_s: Shortest time without progress at a target, in
@@ -408,15 +445,20 @@
         max_held_answer_bytes: Bytes of an answer that are held back until it
             is complete, so that a damaged answer can be replaced by one of
             another target; 0 forwards each byte at once.
+        max_answer_bytes: Bytes of all answers in memory above which answers
+            are not held back and are read only as fast as callers take them;
+            at twice as many, requests are refused.
     """
 
     data_centre: DataCentreId
     max_body_buffer_bytes: int = 65_536
+    max_waiting_body_bytes: int = 262_144
     max_held_body_bytes: int = 50_000_000
     out_grace_s: float = 5.0
     min_progress_s: float = 1.0
     progress_ratio: float = 0.5
     max_held_answer_bytes: int = 0
+    max_answer_bytes: int = 50_000_000
 
 
 class ProcessServices(msgspec.Struct, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/target/_pool.py
@@ -20,6 +20,7 @@
     OutgoingRequest,
     PoolObserver,
 )
+from egretrock_node.transport._sending import SendBuffers
 from egretrock_node.transport.target._connection import TargetConnection
 from egretrock_node.transport.target._fetch import (
     DEFAULT_MAX_BODY_BYTES,
@@ -250,6 +251,7 @@
         self.protocol = protocol
         self._idle: dict[str, list[TargetConnection]] = {}
         self._open: dict[str, set[TargetConnection]] = {}
+        self._sending = SendBuffers()
         self._is_closed = False
         self.observer: PoolObserver | None = None
 
@@ -258,6 +260,11 @@
         """Number of open connections, idle and busy."""
         return sum(map(len, self._open.values()))
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of requests that wait because targets read slowly."""
+        return self._sending.count()
+
     def create_attempt(
         self,
         address: str,
@@ -373,12 +380,7 @@
     ) -> TargetConnection | None:
         """Takes the most recently used connection, unless it idled too long."""
         connections = self._idle.get(address)
-        settings = self.settings
-        idle_limit_s = (
-            settings.at_most_once_idle_s
-            if at_most_once
-            else settings.max_idle_s
-        )
+        idle_limit_s = self._idle_limit_s(at_most_once)
         while connections:
             connection = connections[-1]
             idle_s = self.now() - connection.answered_s
@@ -397,6 +399,24 @@
                 self.observer.on_connection_lost(address)
         return None
 
+    def has_idle_connection(
+        self, address: str, at_most_once: bool = False
+    ) -> bool:
+        """Returns whether an attempt would find an idle connection.
+
+        Args:
+            address: ``"ip:port"`` of the target.
+            at_most_once: Whether the request must run at most once.
+        """
+        connections = self._idle.get(address)
+        if not connections:
+            return False
+        connection = connections[-1]
+        idle_s = self.now() - connection.answered_s
+        return not connection.is_unusable and idle_s <= min(
+            self._idle_limit_s(at_most_once), connection.idle_limit_s
+        )
+
     def connect(
         self,
         address: str,
@@ -413,6 +433,11 @@
             timeout=self.settings.connect_timeout_s,
         )
 
+    def _idle_limit_s(self, at_most_once: bool) -> float:
+        if at_most_once:
+            return self.settings.at_most_once_idle_s
+        return self.settings.max_idle_s
+
     def on_opened(self, connection: TargetConnection) -> None:
         """Registers a connection that was made."""
         self.counters.increment("target_connections.opened")
@@ -430,8 +455,13 @@
         else:
             connections.append(connection)
 
+    def on_body_written(self, connection: TargetConnection) -> None:
+        """Counts the send buffer of a connection until it is empty."""
+        self._sending.add(connection)
+
     def on_lost(self, connection: TargetConnection) -> None:
         """Removes a lost connection and notifies the observer."""
+        self._sending.remove(connection)
         address = connection.address
         was_idle = False
         connections = self._idle.get(address)
