Hold rates in a partition that lasts longer than 30 seconds

In a partition, each side granted the whole rate of an organisation after 30 s, and so did a node that had met nobody since its start.

Cause: members that are gone were forgotten after 30 s, also where a whole data centre could not be reached; a new process was not told of them; and the smallest assumed size of the fleet held for the first 30 s of a process.

Change: a member that is gone counts for two hours. It is forgotten after 30 s only where more of its data centre is reached than lost, so that it has probably ended, and only up to a sixteenth of the fleet, which the margin of the rates covers if such nodes serve on alone. A new process asks for the whole list once, with the members that are gone. The assumed size holds for two hours while seeds are not reached.

A single node that ends for good is still forgotten after 30 s.

--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
@@ -1,5 +1,6 @@
 """Members of the fleet in the view of one node."""
 
+import collections
 import math
 import random
 from collections.abc import Iterable
@@ -91,6 +92,10 @@
 #: Seconds from the start for which a node accepts records of unknown members
 #: that are gone.
 _JOINING_S = 2.0
+#: The digests of a list have 32 bits.
+_DIGEST_MASK = 0xFFFF_FFFF
+#: Seconds between two checks which lost members to forget.
+_FORGET_INTERVAL_S = 1.0
 #: Weight of the newest ping in the moving average of answered pings.
 _ACK_RATIO_WEIGHT = 0.4
 
@@ -150,6 +155,9 @@
         self._next_seek_s = now_s
         self._started_s = now_s
         self._is_recently_started = True
+        self._next_forget_s = now_s
+        self._forgotten_s: dict[NodeId, float] = {}
+        self._has_whole_list = False
         self._nodes_to_ping: set[NodeId] = set()
         self._unreported_changes: list[MemberRecord] = []
 
@@ -283,7 +291,7 @@
         out = self._check_pending_pings(now_s)
         self._expire_members(now_s)
         self._is_recently_started = (
-            now_s - self._started_s < self._settings.remember_s
+            now_s - self._started_s < self._settings.lost_s
         )
         if now_s >= self._next_seek_s:
             out += self._ping_seeds(now_s)
@@ -391,6 +399,7 @@
         except UnpackError:
             self._counters.increment("gossip.bad_sync")
             return []
+        self._has_whole_list = True
         # The records have already spread in the fleet and are not
         # piggybacked again.
         if self._merge_records(records, now_s, spreads=False):
@@ -418,9 +427,13 @@
                 for node, member in self._members.items()
                 if member.record.state is MemberState.GONE
             }
-            missing = sorted((set(self._seeds) - self.alive_nodes()) | gone)
-            self._rng.shuffle(missing)
-            nodes = missing[:1]
+            missing = sorted((set(self._seeds) - self.alive_nodes()) - gone)
+            # One of each, as there may be many that are gone for good.
+            nodes = [
+                self._rng.choice(candidates)
+                for candidates in (missing, sorted(gone))
+                if candidates
+            ]
         number = self._next_number()
         ping = Ping(
             number,
@@ -480,7 +493,12 @@
             is_due = self._sync.take_local(now_s)
         if not is_due:
             return []
-        return [Outbound(node, SyncRequest(self._digest.buckets[:]))]
+        digests = self._digest.buckets[:]
+        if not self._has_whole_list:
+            # Digests leave out the members that are gone, which a new process
+            # must know as well: by differing, it gets all parts of the list.
+            digests = [~digest & _DIGEST_MASK for digest in digests]
+        return [Outbound(node, SyncRequest(digests))]
 
     def _records_for_joining(self, node: NodeId) -> list[MemberRecord]:
         """Returns this node's record and those of members near a node."""
@@ -546,9 +564,68 @@
                     member.record, state=MemberState.GONE
                 )
                 self._set_record(record, now_s)
-            elif state not in LIVE_STATES and age_s >= settings.remember_s:
-                del self._members[node]
-                self._cached_view = None
+            elif state is MemberState.LEFT and age_s >= settings.remember_s:
+                self._forget(node)
+        if now_s >= self._next_forget_s:
+            self._next_forget_s = now_s + _FORGET_INTERVAL_S
+            self._forget_gone_members(now_s)
+
+    def _forget_gone_members(self, now_s: float) -> None:
+        """Forgets members that have ended rather than been cut off.
+
+        A partition mostly separates whole data centres. Where most of a data
+        centre is reached, a member of it that is not has probably ended. As
+        it may be partitioned off alone, only a small part of the fleet is
+        forgotten for that reason.
+        """
+        settings = self._settings
+        gone = sorted(
+            (member.changed_s, node)
+            for node, member in self._members.items()
+            if member.record.state is MemberState.GONE
+        )
+        excess_count = len(gone) - settings.max_gone_count
+        for index, (changed_s, node) in enumerate(gone):
+            is_old = now_s - changed_s >= settings.lost_s
+            if is_old or index < excess_count:
+                self._forget(node)
+        for node, forgotten_s in list(self._forgotten_s.items()):
+            if now_s - forgotten_s >= settings.lost_s:
+                del self._forgotten_s[node]
+        reached, lost = self._data_centre_counts()
+        for changed_s, node in gone:
+            member = self._members.get(node)
+            if member is None or now_s - changed_s < settings.remember_s:
+                continue
+            data_centre = member.record.data_centre
+            forgotten_count = len(self._forgotten_s) + 1
+            if (
+                reached[data_centre] > lost[data_centre]
+                and forgotten_count
+                <= settings.forgotten_ratio * self.member_count()
+            ):
+                self._forget(node)
+                self._forgotten_s[node] = now_s
+
+    def _data_centre_counts(
+        self,
+    ) -> tuple[
+        collections.Counter[DataCentreId], collections.Counter[DataCentreId]
+    ]:
+        """Returns the alive and the gone members by data centre."""
+        reached = collections.Counter(
+            record.data_centre for record in self.alive_records()
+        )
+        lost = collections.Counter(
+            member.record.data_centre
+            for member in self._members.values()
+            if member.record.state is MemberState.GONE
+        )
+        return reached, lost
+
+    def _forget(self, node: NodeId) -> None:
+        del self._members[node]
+        self._cached_view = None
 
     # Records.
 
@@ -679,6 +756,8 @@
                 ) - {record.incarnation}
             self._digest.toggle(current.record)
         self._digest.toggle(record)
+        if record.state in LIVE_STATES:
+            self._forgotten_s.pop(record.node, None)
         self._members[record.node] = Member(record, now_s, sends, ended)
         if record.state is MemberState.LEFT:
             self._leaving_until_s[record.node] = now_s + self._settings.stop_s
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_settings.py
@@ -13,9 +13,18 @@
         suspect_s: Seconds from the ping after which a member without an ack
             is suspected.
         gone_s: Seconds in which a suspected member may refute the suspicion.
-        remember_s: Seconds for which a member that is gone still counts as
-            part of the fleet: it may be serving on the other side of a
-            partition.
+        remember_s: Seconds for which a member that left is remembered, and
+            for which a member that is gone counts as part of the fleet in
+            any case.
+        lost_s: Seconds for which a member that is gone counts as part of the
+            fleet if it may be serving on the other side of a partition, and
+            for which a new process that does not reach its seeds may have
+            started on such a side.
+        forgotten_ratio: Part of the fleet that may be forgotten after
+            ``remember_s``, because its data centre is reached without it.
+            Single nodes that are partitioned off grant their parts of rates
+            besides the others, so it must fit into the margin of the rates.
+        max_gone_count: Most members that are gone and remembered.
         join_s: Seconds between the first two pings of the seeds while no
             other member is known; the interval doubles with each ping.
         max_join_s: Longest interval between these pings. Seeds on which a
@@ -45,6 +54,9 @@
     suspect_s: float = 0.35
     gone_s: float = 0.6
     remember_s: float = 30.0
+    lost_s: float = 7200.0
+    forgotten_ratio: float = 1 / 16
+    max_gone_count: int = 2000
     join_s: float = 0.1
     max_join_s: float = 0.4
     seek_s: float = 1.0
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
@@ -15,6 +15,16 @@
       | the home is killed every 3 seconds                    |
       | 20% of the messages are lost                          |
       | half of the messages are duplicated and homes leave   |
+      | a data centre is partitioned off for 60 seconds       |
+      | 6 nodes are partitioned off for 60 seconds            |
+      | 2 nodes, each alone, are partitioned off for 60 seconds |
+      | all nodes of a data centre that is partitioned off restart |
+
+  # Guards against a node that takes itself for the whole fleet.
+  Scenario: A node whose seeds are stale grants a small part of a rate
+    Given 3 nodes and an organisation that sends 12 times its rate
+    When a node starts whose seeds stay stale for 60 seconds
+    Then no window of 5 seconds admits more requests than the bound
 
   Scenario Outline: The next homes, if partitioned off, together stay within the rate
     Given 16 nodes and a large organisation that starts to send 8 times its rate
@@ -54,6 +64,12 @@
     When the home is killed and not restarted
     Then at most 8% of its requests are refused
 
+  # Guards against rates that stay smaller because VMs have ended.
+  Scenario: The rate is granted whole after a node has ended for good
+    Given 19 nodes and an organisation that sends 1.5 times its rate
+    When 1 node is killed, not restarted, and 35 seconds pass
+    Then every node counts 18 members and reaches all of them
+
   Scenario: Both nodes report the move of a home
     Given 16 nodes and an organisation that sends 0.6 times its rate
     When after 2 seconds 1 home(s) leave in turn, keep serving and restart
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
@@ -228,6 +228,72 @@
         context.fleet.start(home)
 
 
+@when("a data centre is partitioned off for {span_s:d} seconds")
+def step_cut_off_data_centre(context, span_s):
+    fleet = context.fleet
+    records = fleet.nodes[fleet.node_ids[0]].membership.alive_records()
+    names = {r.node for r in records if r.data_centre == records[0].data_centre}
+    context.load.run(4.0)
+    fleet.partition(names)
+    context.load.run(span_s)
+
+
+@when("{count:d} nodes are partitioned off for {span_s:d} seconds")
+def step_cut_off_long(context, count, span_s):
+    context.load.run(4.0)
+    context.fleet.partition(set(context.fleet.node_ids[:count]))
+    context.load.run(span_s)
+
+
+@when("{count:d} nodes, each alone, are partitioned off for {span_s:d} seconds")
+def step_isolate(context, count, span_s):
+    context.load.run(4.0)
+    for name in context.fleet.node_ids[:count]:
+        context.fleet.partition({name})
+    context.load.run(span_s)
+
+
+@when("all nodes of a data centre that is partitioned off restart")
+def step_restart_in_cut(context):
+    step_cut_off_data_centre(context, 35)
+    fleet = context.fleet
+    records = fleet.nodes[fleet.node_ids[0]].membership.alive_records()
+    for record in records:
+        fleet.kill(record.node)
+        context.load.run(1.0)
+        fleet.start(record.node)
+        context.load.run(3.0)
+    context.load.run(10.0)
+
+
+@when("a node starts whose seeds stay stale for {span_s:d} seconds")
+def step_stale_seeds(context, span_s):
+    fleet = context.fleet
+    name = fleet.node_ids[-1]
+    fleet.kill(name)
+    context.load.run(4.0)
+    seeds, fleet.seeds = fleet.seeds, ["10.9.9.9:7000"]
+    # Nodes that knew its address would ping it.
+    fleet.partition({name})
+    fleet.start(name)
+    fleet.seeds = seeds
+    context.load.run(span_s)
+
+
+@when("1 node is killed, not restarted, and {span_s:d} seconds pass")
+def step_ended(context, span_s):
+    context.fleet.kill(context.fleet.node_ids[-1])
+    context.load.run(span_s)
+
+
+@then("every node counts {count:d} members and reaches all of them")
+def step_reaches_all(context, count):
+    for process in context.fleet.nodes.values():
+        membership = process.membership
+        assert membership.member_count() == count, membership.member_count()
+        assert membership.reachable_share() > 0.99
+
+
 @when("the home is killed and not restarted")
 def step_home_killed(context):
     context.load.run(4.0)
