Sum what nodes see of failing targets at a home of the service

Callers lost answers to targets that fail a part of their requests with a good health check: a node sends a target some three requests a minute and never learnt of it alone. Nodes now report their own totals to the home of the service, which lists the targets that fail and takes outliers out, up to a third of the slots; tries bring them back. The gateway runs the part, logs and counts it; the choice of targets does not read it yet.

--- a/packages/egretrock-core/src/egretrock/coordination/queueing/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/__init__.py
@@ -10,5 +10,6 @@
 """
 
 from egretrock.coordination.queueing._queue import FairQueue, QueuedRequest
+from egretrock.coordination.queueing._room import ServiceRoom
 
-__all__ = ["FairQueue", "QueuedRequest"]
+__all__ = ["FairQueue", "QueuedRequest", "ServiceRoom"]
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -32,6 +32,7 @@
     Directory,
     FirstRead,
 )
+from egretrock.coordination.evidence import EVIDENCE_MESSAGES, FleetEvidence
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, Membership
 from egretrock.coordination.probing import TargetChooser, TargetSubsets
 from egretrock.coordination.queueing import FairQueue
@@ -99,6 +100,7 @@
     *GOSSIP_MESSAGES,
     *DIRECTORY_MESSAGES,
     *BOUND_MESSAGES,
+    *EVIDENCE_MESSAGES,
     *QUOTA_MESSAGES,
     *RETRY_MESSAGES,
 )
@@ -206,6 +208,12 @@
             counters,
             self._on_bound_messages_due,
         )
+        self.evidence = FleetEvidence(
+            self.membership,
+            self.publication.usable_targets,
+            settings.evidence,
+            counters,
+        )
         self.chooser = TargetChooser(
             self.publication.usable_targets,
             TargetSubsets(
@@ -239,6 +247,7 @@
         self.router.register(GOSSIP_MESSAGES, self.membership)
         self.router.register(DIRECTORY_MESSAGES, self.directory)
         self.router.register(BOUND_MESSAGES, self.bounds)
+        self.router.register(EVIDENCE_MESSAGES, self.evidence)
         self.router.register(QUOTA_MESSAGES, self.rates)
         self.router.register(RETRY_MESSAGES, self.quarantine)
 
@@ -457,6 +466,7 @@
             for target in service.targets
         }
         self.bounds.retain(listed, now_s)
+        self.evidence.retain(listed, now_s)
         limits = published.limits
         if limits is not None:
             self.callers.settings = replace(
@@ -521,6 +531,7 @@
                     self.directory,
                     self.rates,
                     self.bounds,
+                    self.evidence,
                     self.quarantine,
                 )
             ),
@@ -567,7 +578,7 @@
         self.reader.on_tick()
 
     def _log_changes(self, now_s: float) -> None:
-        """Logs changes of members, of the homes of rates and of bounds."""
+        """Logs changes of members, homes of rates, bounds and verdicts."""
         del now_s
         self.read_sink.log_role()
         for change in self.bounds.take_changes():
@@ -579,6 +590,19 @@
                     "rate_per_s": change.rate_per_s,
                 },
             )
+        for change in self.evidence.take_changes():
+            _log.info(
+                "target taken out" if change.is_out else "target back",
+                extra={
+                    "service": change.service,
+                    "target": change.target,
+                    "cause": change.cause.value,
+                    "attempts": round(change.attempts, 1),
+                    "failures": round(change.failures, 1),
+                    "nodes": change.nodes,
+                    "service_rate": round(change.service_rate, 3),
+                },
+            )
         for record in self.membership.take_home_changes():
             _log.info(
                 "member",
@@ -640,6 +664,7 @@
         gauge("directory.age_s", directory.age_s(self.clock()))
         gauge("directory.is_reader", float(directory.is_reader()))
         gauge("bounds.targets", self.bounds.bounded_count)
+        self.evidence.update_gauges(self.clock())
         gauge("platform.reads_fail", float(directory.reads_fail))
         return 200, metrics_text(self.counters)
 
--- a/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_settings.py
@@ -4,6 +4,7 @@
 
 from egretrock.coordination.bounds import BoundSettings
 from egretrock.coordination.directory import DirectorySettings
+from egretrock.coordination.evidence import EvidenceSettings
 from egretrock.coordination.gossip import GossipSettings
 from egretrock.coordination.probing import ChoiceSettings, SubsetSettings
 from egretrock.coordination.quota import QuotaSettings
@@ -49,6 +50,7 @@
         directory: Settings of the shared directory.
         quota: Settings of the pooled rates.
         bounds: Settings of the bounds of targets.
+        evidence: Settings of the fleet's evidence of failures.
         choice: Settings of the choice of targets.
         subsets: Settings of the subsets of targets that this node uses.
         retries: Retry budget of the fleet.
@@ -68,6 +70,7 @@
     directory: DirectorySettings = DirectorySettings()
     quota: QuotaSettings = QuotaSettings()
     bounds: BoundSettings = BoundSettings()
+    evidence: EvidenceSettings = EvidenceSettings()
     choice: ChoiceSettings = ChoiceSettings()
     subsets: SubsetSettings = SubsetSettings()
     retries: RetryBudgetSettings = RetryBudgetSettings()
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/__init__.py
@@ -5,6 +5,7 @@
     DiscoveredNode,
     VirtualStore,
 )
+from egretrock_standins.virtual._failing_targets import FailingTargets
 from egretrock_standins.virtual._fleet import (
     PlatformView,
     VirtualFleet,
@@ -40,6 +41,7 @@
     "CallerResult",
     "DiscoveredFleet",
     "DiscoveredNode",
+    "FailingTargets",
     "Faults",
     "FleetHistory",
     "FleetView",
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
@@ -15,15 +15,18 @@
     ReadKind,
     ReadRequest,
 )
+from egretrock.coordination.evidence import EVIDENCE_MESSAGES, FleetEvidence
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, Membership
 from egretrock.coordination.quota import PooledRates, QuotaSettings
-from egretrock.state.config import Organisation
+from egretrock.state.config import Organisation, Target
 from egretrock.state.ids import (
     DataCentreId,
     Incarnation,
     NodeId,
     OrganisationId,
     Revision,
+    ServiceId,
+    TargetId,
 )
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 
@@ -122,7 +125,7 @@
 
 
 class DiscoveredNode:
-    """One process of a node: membership, directory, rates and bounds."""
+    """One process of a node: membership, directory and what builds on them."""
 
     def __init__(
         self,
@@ -159,6 +162,9 @@
         )
         self.rates.set_organisations(fleet.organisations, now_s)
         self.bounds = TargetBounds(self.membership)
+        self.evidence = FleetEvidence(
+            self.membership, lambda service: fleet.services.get(service, {})
+        )
         self._is_reading = False
         self._read_number = 0
 
@@ -172,6 +178,8 @@
             part = self.directory
         elif isinstance(body, BOUND_MESSAGES):
             part = self.bounds
+        elif isinstance(body, EVIDENCE_MESSAGES):
+            part = self.evidence
         else:
             part = self.rates
         return self._handle_own(part.on_message(sender, body, now_s), now_s)
@@ -184,6 +192,7 @@
             self.directory,
             self.rates,
             self.bounds,
+            self.evidence,
         ):
             out += part.on_tick(now_s)
         self._start_read(now_s)
@@ -272,6 +281,7 @@
         seeds: Nodes through which the others join.
         wall_step_ms: Steps of wall clocks, from the next start of a node.
         nodes: Running processes.
+        services: Targets in service by service.
     """
 
     def __init__(
@@ -293,6 +303,7 @@
         self.seeds = tuple(self.node_ids[:3])
         self.wall_step_ms: dict[NodeId, int] = {}
         self.nodes: dict[NodeId, DiscoveredNode] = {}
+        self.services: dict[ServiceId, dict[TargetId, Target]] = {}
         self._data_centres = data_centres
         self._incarnations = 0
 
