--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -38,7 +38,7 @@
     QueuedRequest,
     QueueEntry,
 )
-from egretrock.coordination.queueing._room import ServiceRoom
+from egretrock.coordination.queueing._room import ServiceRoom, rank_of
 from egretrock.coordination.queueing._work import WorkEstimate, WorkEstimates
 from egretrock.state.ids import (
     OrganisationId,
@@ -118,13 +118,21 @@
         queue = self._services.get(service)
         if queue is None:
             return ServiceRoom(0.0, 0.0, ())
-        waiting = queue.waiting_by_priority
+        waiting: list[int] = []
+        for priority, count in queue.waiting_by_priority.items():
+            rank = rank_of(priority)
+            waiting += [0] * (rank + 1 - len(waiting))
+            waiting[rank] += count
         return ServiceRoom(
             queue.rates.offered_per_s(now_s),
             queue.rates.taken_per_s(now_s),
-            tuple(waiting[p] for p in range(max(waiting, default=-1) + 1)),
+            tuple(waiting),
         )
 
+    def active_services(self) -> list[ServiceId]:
+        """Returns the services that had requests a short time ago."""
+        return list(self._services)
+
     def offer(self, item: QueuedRequest, now_s: float) -> Result[None, Refusal]:
         """Puts a request into the queue.
 
@@ -392,9 +400,9 @@
         if pace_per_s is not None and not item.is_repeat:
             wait_s = self._wait_s(queue, flow, view, entry, position, now_s)
         room = self._fleet_room(item.service, now_s)
-        if room is not None and item.priority and not item.is_repeat:
+        if room is not None and not item.is_repeat:
             # Other nodes send requests of higher priorities first.
-            wait_s = max(wait_s, room.wait_s(item.priority - 1) or 0.0)
+            wait_s = max(wait_s, room.wait_above_s(item.priority) or 0.0)
         shortest_s = entry.work.shortest_s
         if pace_per_s is not None and not item.is_repeat:
             shortest_s = max(shortest_s, MIN_SLOT_SHARE * entry.estimate_s)
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_room.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_room.py
@@ -2,6 +2,19 @@
 
 import msgspec
 
+#: Priorities that are counted apart; lower ones are counted with the last.
+MAX_RANKS = 8
+
+
+def rank_of(priority: int) -> int:
+    """Returns the position of a priority in ``ServiceRoom.waiting``.
+
+    Example:
+        >>> rank_of(2), rank_of(-1), rank_of(10**9)
+        (2, 0, 7)
+    """
+    return min(max(priority, 0), MAX_RANKS - 1)
+
 
 class ServiceRoom(msgspec.Struct, frozen=True):
     """Demand for a service and what it takes.
@@ -9,22 +22,20 @@
     Attributes:
         offered_per_s: Requests offered per second.
         taken_per_s: Requests sent to targets per second.
-        waiting: Requests that wait, by priority; the first is the highest.
+        waiting: Requests that wait, by ``rank_of`` their priority.
     """
 
     offered_per_s: float
     taken_per_s: float
     waiting: tuple[int, ...]
 
-    def wait_s(self, priority: int) -> float | None:
-        """Returns when a new request of a priority would begin, in seconds.
-
-        Requests of this and of higher priorities are served before it.
+    def wait_above_s(self, priority: int) -> float | None:
+        """Returns when all requests of higher priorities would have begun.
 
         Returns:
-            The wait, or None if nothing waits or none is taken.
+            The wait in seconds, or None if none waits or none is taken.
         """
-        ahead_count = sum(self.waiting[: priority + 1])
+        ahead_count = sum(self.waiting[: rank_of(priority)])
         if not ahead_count or self.taken_per_s <= 0:
             return None
         return ahead_count / self.taken_per_s
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_discovered.py
@@ -15,15 +15,18 @@
     ReadKind,
     ReadRequest,
 )
+from egretrock.coordination.evidence import EVIDENCE_MESSAGES, FleetEvidence
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, Membership
 from egretrock.coordination.quota import PooledRates, QuotaSettings
-from egretrock.state.config import Organisation
+from egretrock.state.config import Organisation, Target
 from egretrock.state.ids import (
     DataCentreId,
     Incarnation,
     NodeId,
     OrganisationId,
     Revision,
+    ServiceId,
+    TargetId,
 )
 from egretrock_standins.virtual._network import Faults, VirtualNetwork
 
@@ -122,7 +125,7 @@
 
 
 class DiscoveredNode:
-    """One process of a node: membership, directory, rates and bounds."""
+    """One process of a node: membership, directory and what builds on them."""
 
     def __init__(
         self,
@@ -157,6 +160,9 @@
         )
         self.rates.set_organisations(fleet.organisations, now_s)
         self.bounds = TargetBounds(self.membership)
+        self.evidence = FleetEvidence(
+            self.membership, lambda service: fleet.services.get(service, {})
+        )
         self._is_reading = False
         self._read_number = 0
 
@@ -170,6 +176,8 @@
             part = self.directory
         elif isinstance(body, BOUND_MESSAGES):
             part = self.bounds
+        elif isinstance(body, EVIDENCE_MESSAGES):
+            part = self.evidence
         else:
             part = self.rates
         out = part.on_message(sender, body, now_s)
@@ -185,6 +193,7 @@
             self.directory,
             self.rates,
             self.bounds,
+            self.evidence,
         ):
             out += part.on_tick(now_s)
         self._start_read(now_s)
@@ -274,6 +283,7 @@
         wall_step_ms: Steps of wall clocks, from the next start of a node.
         nodes: Running processes.
         first_read: Urgency of the first read of nodes that are not seeds.
+        services: Targets in service by service.
     """
 
     def __init__(
@@ -296,6 +306,7 @@
         self.wall_step_ms: dict[NodeId, int] = {}
         self.nodes: dict[NodeId, DiscoveredNode] = {}
         self.first_read = FirstRead.RELAXED
+        self.services: dict[ServiceId, dict[TargetId, Target]] = {}
         self._data_centres = data_centres
         self._incarnations = 0
 
