Mend what the review of queue and choice found

What callers saw: a request whose permit passed to a newcomer while an evicted one was refused got no permit until its deadline; a lower priority starved where the higher ones are negative or refused at once; callers with a shorter deadline of their own were taken for returning ones; a short stall evicted requests of all positions; after evidence was connected, a request that may run once could get a target that was taken out of service. Cause and change: the permit is asked for before evicted requests are refused; neglect is judged among priorities that wait; a time left that many callers share is a deadline; the wait in a stall counts the requests before; permits of targets that are out say that they are for repeatable requests only.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -560,6 +560,9 @@
             True,  # may use a new connection
             self._choice_basis(chosen, probe_round, now_s),
             slowdown,
+            chosen.is_out
+            and ticket.stake is not None
+            and ticket.stake.is_repeatable,
         )
         self._assignments.append(Assignment(ticket_id, permit))
 
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_ages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_ages.py
@@ -13,6 +13,10 @@
 _MAX_SPREAD_MS = 20.0
 #: Age below which a request is taken for a first attempt.
 _MIN_AGE_MS = 30.0
+#: Difference between the same deadline of several callers, and the share of the
+#: callers from which it is one that they set themselves; callers that return
+#: have different times left.
+_SAME_MS, _MAX_ALIKE_SHARE = 5.0, 0.1
 #: Largest number of routes whose samples are kept.
 _MAX_ROUTES = 10_000
 
@@ -56,4 +60,7 @@
         age_ms = high_ms - left_ms
         if high_ms - low_ms > _MAX_SPREAD_MS or age_ms < _MIN_AGE_MS:
             return 0.0
+        alike_count = sum(abs(other - left_ms) < _SAME_MS for other in samples)
+        if alike_count > _MAX_ALIKE_SHARE * len(samples):
+            return 0.0
         return age_ms / 1000
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_flow.py
@@ -145,6 +145,8 @@
         self.waiting_by_priority[priority] -= 1
         if not self.waiting_by_priority[priority]:
             del self.waiting_by_priority[priority]
+        if not self.size:
+            self.declined_since_s = None
 
     def returns_of(self, priority: int) -> ReturnTimes:
         """Returns the times at which refused callers of a priority return."""
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_order.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_order.py
@@ -14,6 +14,7 @@
     now_s: float,
     slowdown: float,
     target: TargetId | None,
+    only_repeatable: bool = False,
 ) -> dict[OrganisationId, int]:
     """Returns the requests among which the turn of organisations decides.
 
@@ -22,20 +23,28 @@
         now_s: Time.
         slowdown: Expected time to completion relative to the usual.
         target: Target of the slot, or None.
+        only_repeatable: Whether the slot is only for requests that may run
+            more than once.
 
     Returns:
         For each organisation that has one, the index of its request.
     """
     is_mixed = queue.has_several_priorities
-    neglected = queue.rates.neglected(now_s) if is_mixed else None
+    neglected = (
+        queue.rates.neglected(now_s, queue.waiting_by_priority)
+        if is_mixed
+        else None
+    )
     usual = queue.slots.least_slowdown(now_s)
-    best: tuple[int, int, bool] | None = None
+    best: tuple[int, bool, int, bool] | None = None
     choices: dict[OrganisationId, int] = {}
     for organisation in queue.active_organisations:
         backlog = queue.flows[organisation].backlog
         for index, entry in enumerate(backlog):
             item = entry.item
-            if target in item.excluded:
+            if target in item.excluded or (
+                only_repeatable and not item.is_repeatable
+            ):
                 continue
             prospect = entry.prospect(now_s, slowdown)
             if prospect is Prospect.TOO_LATE or (
@@ -43,8 +52,12 @@
                 and _waits_for_faster(entry, now_s, slowdown, usual)
             ):
                 continue
-            rank = -1 if item.priority == neglected else item.priority
-            order = (prospect.value, rank, item.is_repeat)
+            order = (
+                prospect.value,
+                item.priority != neglected,
+                item.priority,
+                item.is_repeat,
+            )
             if best is None or order < best:
                 best, choices = order, {organisation: index}
             elif order == best:
@@ -89,14 +102,18 @@
         For each organisation the cost, by which requests of all organisations
         compare, and the index of the request.
     """
-    neglected = queue.rates.neglected(now_s)
+    neglected = queue.rates.neglected(now_s, queue.waiting_by_priority)
     costs = {}
     for organisation in queue.active_organisations:
         candidates = []
         for index, entry in enumerate(queue.flows[organisation].backlog):
             item = entry.item
-            rank = -1 if item.priority == neglected else item.priority
-            cost = (item.is_repeat, -entry.prospect(now_s), -rank)
+            cost = (
+                item.is_repeat,
+                -entry.prospect(now_s),
+                item.priority == neglected,
+                -item.priority,
+            )
             candidates.append((cost, -entry.work.typical_s, -index))
         cost, _, negative_index = min(candidates)
         costs[organisation] = (cost, -negative_index)
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_queue.py
@@ -236,6 +236,7 @@
         now_s: float,
         slowdown: float = 1.0,
         target: TargetId | None = None,
+        only_repeatable: bool = False,
     ) -> QueuedRequest | None:
         """Removes and returns the next request that can use a slot.
 
@@ -249,6 +250,8 @@
             slowdown: Expected time to completion at the slot, relative to the
                 usual slot time; above 0.
             target: Target of the slot, if it is known.
+            only_repeatable: Whether the slot is only for requests that may
+                run more than once.
 
         Returns:
             The request, or None if no waiting request can use the slot.
@@ -264,7 +267,7 @@
         declined_s = queue.declined_since_s
         if declined_s is not None and now_s - declined_s >= MAX_DECLINED_S:
             slowdown = min(slowdown, 1.0)
-        choices = slot_choices(queue, now_s, slowdown, target)
+        choices = slot_choices(queue, now_s, slowdown, target, only_repeatable)
         if not choices:
             if declined_s is None:
                 queue.declined_since_s = now_s
@@ -431,12 +434,14 @@
         now_s: float,
     ) -> float:
         """Returns when a request begins, from the pace of the service."""
-        stall_wait_s = queue.pace.stall_wait_s(queue.size + 1, now_s)
-        if stall_wait_s is not None:
-            return stall_wait_s
         priority = entry.item.priority
         pace_per_s = queue.pace.per_s(now_s)
         before_count = view.count_before(priority, flow, position)
+        stall_wait_s = queue.pace.stall_wait_s(
+            view.count_above(priority) + before_count + 1, now_s
+        )
+        if stall_wait_s is not None:
+            return stall_wait_s
         above_share = queue.rates.offered_share(now_s, priority, above=True)
         if above_share:
             above_count = view.count_above(priority)
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_ranks.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_ranks.py
@@ -1,6 +1,7 @@
 """Rates of a service by priority, and the share that each is served."""
 
 import math
+from collections.abc import Container
 
 #: Time after which a request counts half.
 _HALF_LIFE_S = 2.0
@@ -69,8 +70,13 @@
         )
         return part / total
 
-    def neglected(self, now_s: float) -> int | None:
-        """Returns the priority that is served too rarely, or None."""
+    def neglected(self, now_s: float, waiting: Container[int]) -> int | None:
+        """Returns the priority that is served too rarely, or None.
+
+        Args:
+            now_s: Time.
+            waiting: Priorities of which requests wait.
+        """
         if len(self._offered) < 2:
             return None
         offered = sum(c.value(now_s) for c in self._offered.values())
@@ -78,7 +84,7 @@
         worst, worst_share = None, MIN_SERVED_SHARE * taken / max(offered, 1e-9)
         for priority, count in self._offered.items():
             own_offered = count.value(now_s)
-            if own_offered < _MIN_OFFERED:
+            if priority not in waiting or own_offered < _MIN_OFFERED:
                 continue
             own_taken = self._taken.get(priority)
             share = own_taken.value(now_s) / own_offered if own_taken else 0.0
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_requests.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_requests.py
@@ -27,6 +27,7 @@
         priority: Its priority, 0 is the highest.
         route: Route whose requests need similar work, or empty.
         is_repeat: Whether an earlier attempt of it was sent to a target.
+        is_repeatable: Whether it may run more than once.
         is_charged: Whether it was taken before, and its slot time charged.
         excluded: Targets that it must not be sent to.
     """
@@ -40,6 +41,7 @@
     route: RouteId = RouteId("")
     is_repeat: bool = False
     is_charged: bool = False
+    is_repeatable: bool = True
     excluded: frozenset[TargetId] = frozenset()
 
 
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/_work.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/_work.py
@@ -72,7 +72,8 @@
     ) -> None:
         """Records an answer.
 
-        Answers of targets that were expected to be slow are left out.
+        The expected slowdown is divided out; answers of targets that were
+        expected to be slow are left out.
 
         Args:
             service: Service of the request.
@@ -86,7 +87,7 @@
         if len(self._samples) >= _MAX_ROUTES:
             self._samples.clear()
         samples = self._samples.setdefault((service, route), _Samples())
-        samples.values_s.append((now_s, work_s))
+        samples.values_s.append((now_s, work_s / max(1.0, slowdown)))
         samples.update(now_s)
 
     def estimate(
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_client.py
@@ -90,6 +90,8 @@
         choice_reason: Reason for the choice, as text for the log.
         expected_slowdown: Expected time to completion at the target, relative
             to the usual service time of the request; above 0.
+        only_repeatable: Whether the target is too likely to lose an answer
+            for a request that may run only once.
     """
 
     permit_id: int
@@ -101,6 +103,7 @@
     new_connection: bool
     choice_reason: str = ""
     expected_slowdown: float = 1.0
+    only_repeatable: bool = False
 
 
 class Assignment(msgspec.Struct, frozen=True):
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -556,6 +556,7 @@
             route=exchange.match.id,
             is_repeat=exchange.attempt_count > 0,
             is_charged=exchange.must_report_slot_time,
+            is_repeatable=exchange.is_idempotent,
             excluded=exchange.excluded,
         )
         queue = self._parts.queue
@@ -567,9 +568,10 @@
             return
         exchange.queue_ticket = ticket
         self._queued[ticket] = exchange
+        # Ending an evicted request polls permits, and the queue may give one
+        # to this request, whose ticket then passes to another.
+        self._ask_permit(exchange, now_s)
         self._refuse_evicted()
-        if not exchange.is_done:
-            self._ask_permit(exchange, now_s)
 
     def _priority_of(self, exchange: Exchange) -> int:
         """Returns the priority of the organisation, else of the route."""
@@ -613,7 +615,7 @@
             objective_s=exchange.objective_s,
             deadline_s=exchange.deadline_s,
             work_s=self._work_times.expected_s(match.id),
-            priority=match.route.priority,
+            priority=self._priority_of(exchange),
         )
 
     def _poll_permits(self, now_s: float) -> None:
@@ -668,7 +670,11 @@
         """
         service = requester.match.route.service
         while item := self._parts.queue.take(
-            service, now_s, permit.expected_slowdown, permit.target
+            service,
+            now_s,
+            permit.expected_slowdown,
+            permit.target,
+            permit.only_repeatable,
         ):
             chosen = self._queued.pop(item.ticket, None)
             if chosen is None:
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_ports.py
@@ -101,6 +101,7 @@
         now_s: float,
         slowdown: float = 1.0,
         target: TargetId | None = None,
+        only_repeatable: bool = False,
     ) -> QueuedRequest | None:
         """Removes and returns the next request that can use a slot.
 
--- a/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
+++ b/packages/egretrock-node/src/egretrock_node/tests/path_fakes.py
@@ -77,7 +77,7 @@
         )
         self.report_work = Mock()
 
-    def take(self, service, now_s, slowdown=1.0, target=None):
+    def take(self, service, now_s, *slot):
         return self.items.pop(0) if self.items else None
 
 
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_server.py
@@ -256,6 +256,7 @@
 
     def _abort_stalled(self, now_s: float) -> None:
         """Ends connections whose callers take nothing of their answers."""
+        self.pipeline.body_budget.recount()
         unsent_bytes = self.answer_budget.recount()
         settings = self.settings
         limit_s = settings.unsent_timeout_s
