Move the sending of probes out of the chooser, and hold back within the probe budget

A request that is held back costs a probe each 15 ms; beyond the overdraft of the budget it now takes any target with room.

--- a/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/__init__.py
@@ -5,10 +5,7 @@
 expected completion time.
 """
 
-from egretrock.coordination.probing._chooser import (
-    TargetChooser,
-    UsableTargets,
-)
+from egretrock.coordination.probing._chooser import TargetChooser
 from egretrock.coordination.probing._ports import (
     IdleConnections,
     NoConnections,
@@ -25,6 +22,7 @@
     SubsetSettings,
     TargetSubsets,
 )
+from egretrock.coordination.probing._target_book import UsableTargets
 
 __all__ = [
     "ChoiceSettings",
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_chooser.py
@@ -3,7 +3,7 @@
 import functools
 import itertools
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable
 
 from egretrock.coordination.base import Counters, NullCounters, Outbound
 from egretrock.coordination.bounds import (
@@ -20,6 +20,7 @@
     TargetEvidence,
 )
 from egretrock.coordination.probing._probe_order import ProbeOrder
+from egretrock.coordination.probing._probe_sender import ProbeSender
 from egretrock.coordination.probing._readings import (
     LoadProbe,
     LoadReading,
@@ -33,14 +34,16 @@
 from egretrock.coordination.probing._selection import TargetSelector
 from egretrock.coordination.probing._settings import ChoiceSettings
 from egretrock.coordination.probing._subsets import TargetSubsets
-from egretrock.coordination.probing._target_book import TargetBook
+from egretrock.coordination.probing._target_book import (
+    TargetBook,
+    UsableTargets,
+)
 from egretrock.coordination.targets import (
     Assignment,
     AttemptResult,
     Permit,
     RequestStake,
 )
-from egretrock.state.config import Target
 from egretrock.state.ids import (
     OrganisationId,
     ServiceId,
@@ -48,10 +51,6 @@
     TicketId,
 )
 
-#: Returns the usable targets of a service: listed, not draining, and in a data
-#: centre that is enabled.
-UsableTargets = Callable[[ServiceId], Mapping[TargetId, Target]]
-
 _DEFAULTS = ChoiceSettings()
 
 
@@ -97,7 +96,6 @@
     ) -> None:
         self._warm_up_rate_of = warm_up_rate_of
         self._bounds = bounds or Unbounded()
-        self._on_probes_due = on_probes_due
         self._node_count = node_count
         self._targets_of = targets_of
         self._subsets = subsets
@@ -109,20 +107,25 @@
         evidence = evidence or NoEvidence()
         self._connections = connections or NoConnections()
         self._book = TargetBook(evidence, settings, warm_up_rate_of)
-        self._probe_order = ProbeOrder(
-            self._book.stats,
+        self._id_sequence = itertools.count(1)
+        self._probes = ProbeSender(
+            targets_of,
+            ProbeOrder(
+                self._book.stats,
+                settings,
+                self._bounds,
+                evidence,
+                self._connections,
+                rng,
+            ),
             settings,
-            self._bounds,
-            evidence,
-            self._connections,
-            rng,
+            self._id_sequence,
+            self._counters,
+            on_probes_due,
         )
         self._selector = TargetSelector(
             settings, evidence, self._connections, self._counters
         )
-        self._pending_probes: dict[int, tuple[ProbeRound, float]] = {}
-        self._id_sequence = itertools.count(1)
-        self._unsent_probes: list[LoadProbe] = []
         self._assignments: list[Assignment] = []
 
     # Methods for the request path.
@@ -203,15 +206,15 @@
 
     def take_probes(self) -> list[LoadProbe]:
         """Returns the probes to send."""
-        probes, self._unsent_probes = self._unsent_probes, []
-        return probes
+        return self._probes.take_unsent()
 
     def on_reading(
         self, probe: LoadProbe, reading: LoadReading | None, now_s: float
     ) -> None:
         """Processes the answer to a probe, or None if it was unanswered."""
-        probe_round, sent_s = self._pending_probes.pop(
-            probe.number, (None, now_s)
+        probe_round, sent_s = self._probes.pop_pending(probe.number) or (
+            None,
+            now_s,
         )
         stats = self._book.stats.setdefault(probe.target, TargetStats())
         if reading is None:
@@ -272,8 +275,12 @@
             probe_round = ProbeRound(service, now_s)
             demand.rounds.append(probe_round)
             near = self._subsets.subset_of(service, targets).near
-            if not self._send_probes(
-                probe_round, [near], self.settings.near_probe_count, now_s
+            if not self._probes.send(
+                probe_round,
+                demand,
+                [near],
+                self.settings.near_probe_count,
+                now_s,
             ):
                 self._widen_round(probe_round, now_s)
             if not probe_round.pending_probes:
@@ -292,6 +299,9 @@
         ticket_id, ticket = list(demand.tickets.items())[round_count]
         needs = needs_of(ticket, self.settings, now_s)
         probe_round = ProbeRound(service, now_s)
+        if not demand.budget.may_overdraw():
+            # Another round would cost a probe that the fleet cannot afford.
+            needs = needs.without_holding()
         oldest_s = self._oldest_usable_s(service, demand, needs, now_s)
         targets = list(self._targets_of(service))
         self._rng.shuffle(targets)
@@ -346,77 +356,13 @@
         probe_round.is_widened = True
         service = probe_round.service
         tiers = self._subsets.subset_of(service, self._targets_of(service))
-        self._send_probes(
-            probe_round, tiers, self.settings.far_probe_count, now_s
-        )
-
-    def _send_probes(
-        self,
-        probe_round: ProbeRound,
-        tiers: Sequence[list[TargetId]],
-        count: int,
-        now_s: float,
-    ) -> bool:
-        """Sends up to ``count`` probes; returns whether any was sent.
-
-        Targets are probed in the order of their tiers; those that recently
-        looked slow come last, whatever their tier. The first probe of a
-        round is sent even if the budget is exhausted.
-        """
-        targets = self._targets_of(probe_round.service)
-        ordered, open_count = self._probe_order.order(
-            targets,
+        self._probes.send(
+            probe_round,
+            self._demands[service],
             tiers,
-            self._excluded_by_all(probe_round.service)
-            | probe_round.probed_targets,
+            self.settings.far_probe_count,
             now_s,
         )
-        budget = self._demands[probe_round.service].budget
-        # When the budget runs short, every request gets fewer probes, rather
-        # than some requests many and others none.
-        min_count = self.settings.min_probe_count
-        count = max(min_count, round(count * budget.fill_ratio))
-        if not probe_round.is_widened and 2 * open_count >= len(tiers[0]):
-            # In a service that is not full, no connection is opened just to
-            # compare one target more.
-            count = min(count, max(min_count, open_count))
-        any_sent = False
-        for target_id in ordered[:count]:
-            if budget.tokens < 1.0 and (any_sent or probe_round.probed_targets):
-                self._counters.increment("probes.saved")
-                break
-            budget.force_take()
-            any_sent = True
-            number = next(self._id_sequence)
-            probe_round.pending_probes.add(number)
-            probe_round.probed_targets.add(target_id)
-            self._pending_probes[number] = (probe_round, now_s)
-            self._unsent_probes.append(
-                LoadProbe(
-                    number,
-                    probe_round.service,
-                    target_id,
-                    targets[target_id].address,
-                    self.settings.probe_timeout_s,
-                )
-            )
-            self._counters.increment("probes.sent")
-        if any_sent:
-            self._on_probes_due()
-        return any_sent
-
-    def _excluded_by_all(self, service: ServiceId) -> frozenset[TargetId]:
-        """Returns the targets that every waiting request excludes."""
-        tickets = self._demands[service].tickets.values()
-        excluded = None
-        for ticket in tickets:
-            if not ticket.excluded:
-                return frozenset()
-            if excluded is None:
-                excluded = ticket.excluded
-            else:
-                excluded &= ticket.excluded
-        return excluded or frozenset()
 
     def _add_candidate(
         self,
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_needs.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_needs.py
@@ -42,6 +42,12 @@
         """Whether a target several times slower than usual is good enough."""
         return self.on_time_slowdown > _SLACK_SLOWDOWN
 
+    def without_holding(self) -> "Needs":
+        """Returns the needs of a request that takes any target with room."""
+        return self._replace(
+            in_time_slowdown=float("inf"), is_worth_holding=False
+        )
+
 
 def needs_of(ticket: Ticket, settings: ChoiceSettings, now_s: float) -> Needs:
     """Returns what a waiting request needs.
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_target_book.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_target_book.py
@@ -14,6 +14,10 @@
 from egretrock.state.config import Target
 from egretrock.state.ids import ServiceId, TargetId
 
+#: Returns the usable targets of a service: listed, not draining, and in a data
+#: centre that is enabled.
+UsableTargets = Callable[[ServiceId], Mapping[TargetId, Target]]
+
 #: Outcomes that raise the failure rate of a target. ``CONNECT_FAILED`` (no
 #: connection was made) does not; it counts as an unanswered probe.
 _FAILURES = frozenset(
