--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/priorities.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/priorities.feature
@@ -177,8 +177,43 @@
     And 31 s later nothing is known
 
   Scenario: The age of a caller that returns shows in the time that it has left
-    When 40 callers of a route have 2000 ms left and 10 of them return with 1700 ms
-    Then the first attempts have an age of 0 s and the others of 0.3 s
+    When 40 callers of a route have 2000 ms left and 10 of them return with 1690 ms to 1780 ms
+    Then the first attempts have an age of 0 s and the others of 0.31 s to 0.22 s
+
+  # Guards against callers that are served last because they set a shorter
+  # deadline than the others.
+  Scenario: Callers with a shorter deadline of their own are not taken for returning ones
+    When 60 callers of a route have 2000 ms left, and 40 in between have 500 ms
+    Then at most 4 attempts have an age
+
+  # Guards against a priority that starves because a higher one is negative.
+  Scenario Outline: The lower of two priorities gets its share in an overload
+    When 200 requests a second of priorities <higher> and <lower> meet 100 slots a second for 15 s
+    Then more than a tenth of the requests of priority <lower> are served
+
+    Examples:
+      | higher | lower |
+      | 0      | 2     |
+      | -3     | 0     |
+      | -3     | 2     |
+
+  # Guards against a priority that is refused at once and keeps the others from
+  # catching up.
+  Scenario: A priority without waiting requests is not the one to catch up
+    Given the rates of priorities 0, 1 and 2, of which 1 and 2 are hardly served
+    Then 2 is to catch up while requests of 2 wait, and 1 while only those of 1 do
+
+  Scenario: A slot of a target that loses answers serves only requests that may be repeated
+    Given the requests
+      | name  | priority | objective | deadline |
+      | order | 0        | 0.5       | 0.9      |
+      | read  | 1        | 0.5       | 0.9      |
+    When order may run only once
+    Then a slot only for repeatable requests serves read and then none
+
+  Scenario: Declined slots are forgotten once nothing waits
+    When the only request declines a slot and ends at its deadline
+    Then a request that comes 20 s later declines a slot in which it would end too late
 
   Scenario: Callers with deadlines of their own have no age
     When 40 callers of a route have 500 ms to 2450 ms left
--- a/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/priorities_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/queueing/tests/steps/priorities_steps.py
@@ -1,5 +1,6 @@
 import random
 
+import msgspec
 from behave import given, then, when
 
 from egretrock.coordination.queueing import (
@@ -8,6 +9,7 @@
     QueuedRequest,
     ServiceRoom,
 )
+from egretrock.coordination.queueing._ranks import RankRates
 from egretrock.coordination.queueing._work import WorkEstimates
 
 SERVICE = "s"
@@ -292,19 +294,128 @@
 
 
 @when(
-    "40 callers of a route have 2000 ms left and 10 of them return with 1700 ms"
+    "40 callers of a route have 2000 ms left and 10 of them return with"
+    " 1690 ms to 1780 ms"
 )
 def step_returning(context):
     ages = CallerAges()
     context.first_ages = [ages.age_s("r", 2000 - n % 3) for n in range(40)]
-    context.later_ages = [ages.age_s("r", 1700) for _ in range(10)]
+    context.later_ages = [ages.age_s("r", 1690 + 10 * n) for n in range(10)]
 
 
-@then("the first attempts have an age of 0 s and the others of {age_s:g} s")
-def step_ages(context, age_s):
+@then(
+    "the first attempts have an age of 0 s and the others of {oldest_s:g} s to"
+    " {newest_s:g} s"
+)
+def step_ages(context, oldest_s, newest_s):
     assert set(context.first_ages) == {0.0}, context.first_ages
-    for later_s in context.later_ages:
-        assert abs(later_s - age_s) <= 0.003, context.later_ages
+    count = len(context.later_ages)
+    step_s = (oldest_s - newest_s) / (count - 1)
+    for number, later_s in enumerate(context.later_ages):
+        expected_s = oldest_s - number * step_s
+        assert abs(later_s - expected_s) <= 0.003, context.later_ages
+
+
+@when("60 callers of a route have 2000 ms left, and 40 in between have 500 ms")
+def step_own_deadline(context):
+    ages, left_ms = CallerAges(), [2000] * 60 + [500] * 40
+    random.Random(3).shuffle(left_ms)
+    context.ages = [ages.age_s("r", left) for left in left_ms]
+
+
+@then("at most {count:d} attempts have an age")
+def step_few_ages(context, count):
+    assert sum(age_s > 0 for age_s in context.ages) <= count, context.ages
+
+
+@when(
+    "200 requests a second of priorities {higher:d} and {lower:d} meet 100"
+    " slots a second for 15 s"
+)
+def step_overload(context, higher, lower):
+    make_queue(context, 400)
+    learn(context, "r", 0.05)
+    context.served, context.offered = {}, {}
+    priorities = {}
+    for number in range(3000):
+        context.now_s += 0.005
+        priority = higher if number % 3 else lower
+        context.offered[priority] = context.offered.get(priority, 0) + 1
+        offer(context, str(number), priority, 1.5, 2.0, route="r")
+        priorities[str(number)] = priority
+        if number % 2:
+            context.queue.expire(context.now_s)
+            for item in context.queue.take_evicted():
+                context.queue.refusal_of(item)
+        elif item := context.queue.take(SERVICE, context.now_s):
+            served = priorities[context.names[item.ticket]]
+            context.served[served] = context.served.get(served, 0) + 1
+            context.queue.report_slot_time("o", SERVICE, 0.05)
+
+
+@then("more than a tenth of the requests of priority {priority:d} are served")
+def step_share(context, priority):
+    served = context.served.get(priority, 0)
+    assert served > context.offered[priority] / 10, context.served
+
+
+@given("the rates of priorities 0, 1 and 2, of which 1 and 2 are hardly served")
+def step_rates(context):
+    context.rates = RankRates()
+    for number in range(30):
+        for priority in range(3):
+            context.rates.on_offer(priority, 1.0)
+        context.rates.on_take(0, 1.0)
+        if number % 10 == 0:
+            context.rates.on_take(1, 1.0)
+
+
+@then(
+    "2 is to catch up while requests of 2 wait, and 1 while only those of 1 do"
+)
+def step_neglected(context):
+    assert context.rates.neglected(1.0, {0, 1, 2}) == 2
+    assert context.rates.neglected(1.0, {0, 1}) == 1
+    assert context.rates.neglected(1.0, {0}) is None
+
+
+@when("{name} may run only once")
+def step_once(context, name):
+    for flow in context.queue._services[SERVICE].flows.values():
+        for entry in flow.backlog:
+            if context.names[entry.item.ticket] == name:
+                entry.item = msgspec.structs.replace(
+                    entry.item, is_repeatable=False
+                )
+
+
+@then("a slot only for repeatable requests serves {name} and then none")
+def step_only_repeatable(context, name):
+    slot = (SERVICE, context.now_s, 1.0, None, True)
+    item = context.queue.take(*slot)
+    assert context.names[item.ticket] == name, item
+    assert context.queue.take(*slot) is None
+    assert context.queue.size(SERVICE) == 1
+
+
+@when("the only request declines a slot and ends at its deadline")
+def step_decline_and_end(context):
+    make_queue(context)
+    learn(context, "r", 0.1)
+    offer(context, "first", 0, 0.5, 0.5, route="r")
+    assert take(context, 20.0) is None
+    context.now_s += 1.0
+    context.queue.expire(context.now_s)
+
+
+@then(
+    "a request that comes 20 s later declines a slot in which it would end too"
+    " late"
+)
+def step_decline_later(context):
+    context.now_s += 20.0
+    offer(context, "second", 0, 0.5, 0.5, route="r")
+    assert take(context, 20.0) is None
 
 
 @when("40 callers of a route have 500 ms to 2450 ms left")
