--- a/packages/egretrock-standins/src/egretrock_standins/target/_options.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_options.py
@@ -56,6 +56,9 @@
         slow_body_s: Sends the body in pieces over this many seconds.
         crash: Crashes the target when the request starts to run.
         never_answer: Runs the request and sends no answer.
+        early_bytes: Answers an upload at once when this many bytes of its body
+            have arrived, without a slot, and reads the rest off.
+        early_status: Status of such an answer.
     """
 
     path_prefix: str
@@ -65,6 +68,8 @@
     slow_body_s: float = 0.0
     crash: bool = False
     never_answer: bool = False
+    early_bytes: int | None = None
+    early_status: int = 200
 
 
 class TargetOptions(_Options):
--- a/packages/egretrock-standins/src/egretrock_standins/target/_server.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 server of a stand-in target, with connection faults."""
 
 import os
+import time
 from typing import Any
 
 import msgspec
@@ -28,11 +29,29 @@
     rule: Rule | None = None
     deadline_s: float | None = None
     _closed = False
+    _is_answered_early = False
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Receives a part of the body; answers early if a rule says so."""
+        super().handleContentChunk(data)
+        if self._is_answered_early:
+            return
+        # Twisted sets the request line of the request after its body.
+        self.uri = self.channel._path
+        options = self.channel.factory.target.options
+        rule = options.find_rule(self.uri.decode("latin-1"))
+        if rule is None or rule.early_bytes is None:
+            return
+        if self.content.tell() >= rule.early_bytes:
+            self._answer_early(rule)
 
     def process(self) -> None:
         """Handles a request after its body has been received."""
         self.target_server: TargetServer = self.channel.factory
         target = self.target_server.target
+        if self._is_answered_early:
+            self.finish()
+            return
         self.notifyFinish().addErrback(self._on_closed)
         if self.method == b"GET" and self.path in (b"/health", b"/load"):
             target.counts["probes"] += 1
@@ -47,8 +66,15 @@
     def answer(self) -> None:
         """Sends the answer to a request that ran."""
         options = self.target_server.target.options
-        value = {
-            "target": options.target_id,
+        body = msgspec.json.encode(self._answer_value())
+        body_bytes = options.body_bytes
+        if self.rule is not None and self.rule.body_bytes is not None:
+            body_bytes = self.rule.body_bytes
+        self._send(200, body.ljust(body_bytes))
+
+    def _answer_value(self) -> dict[str, Any]:
+        return {
+            "target": self.target_server.target.options.target_id,
             "instance": self.record.instance,
             "request_id": self.record.request_id,
             "organisation": self.record.organisation,
@@ -57,11 +83,6 @@
             "nonce": self.getHeader("x-nonce") or "",
             "received_bytes": self._received_bytes,
         }
-        body = msgspec.json.encode(value)
-        body_bytes = options.body_bytes
-        if self.rule is not None and self.rule.body_bytes is not None:
-            body_bytes = self.rule.body_bytes
-        self._send(200, body.ljust(body_bytes))
 
     def refuse(self, not_run: bool, reason: str) -> None:
         """Sends a 503; if the request did not run, a header says so."""
@@ -71,29 +92,48 @@
         body = {"error": reason, "nonce": nonce}
         self._send(503, msgspec.json.encode(body))
 
+    def _answer_early(self, rule: Rule) -> None:
+        self._is_answered_early = True
+        self.method = self.channel._command
+        self.clientproto = self.channel._version
+        self.target_server = self.channel.factory
+        target = self.target_server.target
+        self._received_bytes = self.content.tell()
+        self.record = self._make_record(target)
+        self.record.start_s = time.monotonic()
+        target.history.start(self.record)
+        target.history.end(self.record, time.monotonic(), "answered_early")
+        target.counts["answered_early"] += 1
+        body = msgspec.json.encode(self._answer_value())
+        self._write_head(target, rule.early_status, body)
+        self.write(body)
+
     def _offer(self, target: Target) -> None:
         deadline = self.getHeader("egretrock-deadline-ms")
         if deadline is not None:
             remaining_s = int(deadline) / 1000
             self.deadline_s = reactor.seconds() + remaining_s
+        uri = self.uri.decode("latin-1")
+        self._received_bytes = len(self.content.read())
+        self.rule = target.options.find_rule(uri)
+        self.record = self._make_record(target)
+        target.offer(self)
+
+    def _make_record(self, target: Target) -> RunRecord:
         headers: dict[str, list[str]] = {}
         for name, values in self.requestHeaders.getAllRawHeaders():
             text = [value.decode("latin-1") for value in values]
             headers[name.decode("latin-1").lower()] = text
-        uri = self.uri.decode("latin-1")
-        self._received_bytes = len(self.content.read())
-        self.rule = target.options.find_rule(uri)
-        self.record = RunRecord(
+        return RunRecord(
             target_id=target.options.target_id,
             instance=target.instance,
             request_id=headers.get("egretrock-request-id", [""])[0],
             organisation=headers.get("egretrock-organisation", [""])[0],
             method=self.method.decode("latin-1"),
-            uri=uri,
+            uri=self.uri.decode("latin-1"),
             headers=headers,
             start_s=0.0,
         )
-        target.offer(self)
 
     def _cancel_other(self, target: Target) -> None:
         request_id = self.path.removeprefix(b"/requests/").decode()
@@ -121,12 +161,7 @@
     def _send_now(self, status: int, body: bytes) -> None:
         if self._closed or self.channel is None or self.channel.silent:
             return
-        target = self.target_server.target
-        self.setResponseCode(status)
-        self.setHeader(b"Content-Type", b"application/json")
-        self.setHeader(b"Content-Length", str(len(body)).encode())
-        self.setHeader(b"Target-Instance", target.instance.encode())
-        self.setHeader(b"Target-State", target.reported_state.encode())
+        self._write_head(self.target_server.target, status, body)
         rule = self.rule if status == 200 else None
         if rule is not None and rule.truncate_at_bytes is not None:
             self.write(body[: rule.truncate_at_bytes])
@@ -137,6 +172,13 @@
             self.write(body)
             self.finish()
 
+    def _write_head(self, target: Target, status: int, body: bytes) -> None:
+        self.setResponseCode(status)
+        self.setHeader(b"Content-Type", b"application/json")
+        self.setHeader(b"Content-Length", str(len(body)).encode())
+        self.setHeader(b"Target-Instance", target.instance.encode())
+        self.setHeader(b"Target-State", target.reported_state.encode())
+
     def _send_slowly(self, body: bytes, duration_s: float) -> None:
         piece_bytes = -(-len(body) // SLOW_BODY_PIECES)
         pieces = [
--- a/packages/egretrock-standins/src/egretrock_standins/target/tests/steps/target_steps.py
+++ b/packages/egretrock-standins/src/egretrock_standins/target/tests/steps/target_steps.py
@@ -2,6 +2,7 @@
 import http.client
 import json
 import pathlib
+import socket
 import tempfile
 import time
 
@@ -206,3 +207,56 @@
 @then("the history records the end {end}")
 def step_end(context, end):
     wait_until(context, lambda records: records[0]["end"] == end)
+
+
+def read_raw_answer(connection):
+    answer = http.client.HTTPResponse(connection)
+    answer.begin()
+    return answer.status, json.loads(answer.read())
+
+
+def open_upload(context, sent, size):
+    host, port = context.address.split(":")
+    connection = socket.create_connection((host, int(port)), 5)
+    context.add_cleanup(connection.close)
+    head = f"POST /up HTTP/1.1\r\nHost: a\r\nContent-Length: {size}\r\n\r\n"
+    connection.sendall(head.encode() + b"a" * sent)
+    context.connection = connection
+    context.rest = b"a" * (size - sent)
+    context.answer = read_raw_answer(connection)
+
+
+@when("an upload of {size:d} bytes is sent")
+def step_upload(context, size):
+    open_upload(context, size, size)
+
+
+@when("{sent:d} of {size:d} bytes of an upload are sent")
+def step_part(context, sent, size):
+    open_upload(context, sent, size)
+
+
+@then("its answer has status {status:d} and tells {size:d} bytes")
+def step_upload_answer(context, status, size):
+    received, value = context.answer
+    assert (received, value["received_bytes"]) == (status, size), value
+
+
+@then("its answer has status {status:d} and tells at most {size:d} bytes")
+def step_early_answer(context, status, size):
+    received, value = context.answer
+    assert received == status, context.answer
+    assert value["received_bytes"] <= size, value
+
+
+@when("the rest of it and another request are sent on the connection")
+def step_rest(context):
+    other = b"GET /other HTTP/1.1\r\nHost: a\r\n\r\n"
+    context.connection.sendall(context.rest + other)
+    context.answer = read_raw_answer(context.connection)
+
+
+@then("the other request is answered")
+def step_other(context):
+    status, value = context.answer
+    assert (status, value["uri"]) == (200, "/other"), context.answer
--- a/packages/egretrock-standins/src/egretrock_standins/target/tests/target.feature
+++ b/packages/egretrock-standins/src/egretrock_standins/target/tests/target.feature
@@ -44,6 +44,19 @@
     When a request to /cut fails
     Then the target's statistic runs is 1
 
+  Scenario: An upload is answered with the number of its bytes
+    Given a target with {}
+    When an upload of 300000 bytes is sent
+    Then its answer has status 200 and tells 300000 bytes
+
+  Scenario: An upload is answered before its end, and its rest is read off
+    Given a target with {"rules": [{"path_prefix": "/up", "early_bytes": 50000, "early_status": 413}]}
+    When 60000 of 300000 bytes of an upload are sent
+    Then its answer has status 413 and tells at most 60000 bytes
+    And the history records the end answered_early
+    When the rest of it and another request are sent on the connection
+    Then the other request is answered
+
   Scenario: Closing a connection cancels its request
     Given a target with {"slots": 1, "service_time": {"mean_ms": 20000}}
     When a request is sent and its connection is closed
