Tell a new process of lost members also where lists of live ones agree

What an organisation saw: after a partition of over 30 s, nodes that restarted on one side granted the whole rate beside the other side. Cause: a new process asks for the whole list only if the digests differ, and these leave out members that are gone; where the join had brought all live members, it never asked. Change: a process without the whole list asks in any case.

--- a/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/_membership.py
@@ -479,7 +479,10 @@
         a member of this node's data centre is asked, which may have them.
         """
         member = self._members.get(sender.node)
-        if not view or view == self._digest.total or member is None:
+        # Equal digests say nothing of members that are gone, which a process
+        # without the whole list does not know.
+        is_same = self._has_whole_list and view == self._digest.total
+        if not view or is_same or member is None:
             return []
         own, *others = self.alive_records()
         local = [r.node for r in others if r.data_centre == own.data_centre]
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/quota.feature
@@ -20,6 +20,13 @@
       | 2 nodes, each alone, are partitioned off for 60 seconds |
       | all nodes of a data centre that is partitioned off restart |
 
+  # Guards against new processes that are not told of the members that are gone,
+  # as the members alive are the same in both lists.
+  Scenario: Nodes that restart with two seeds apart from the others stay within a rate
+    Given 16 nodes and an organisation of 200 requests a second that sends 4 times its rate
+    When half of the nodes with two seeds are apart for 35 seconds and then restart
+    Then no window of 5 seconds admits more requests than the bound
+
   # Guards against a node that takes itself for the whole fleet.
   Scenario: A node whose seeds are stale grants a small part of a rate
     Given 3 nodes and an organisation that sends 12 times its rate
--- a/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/quota/tests/steps/quota_steps.py
@@ -266,6 +266,34 @@
     context.load.run(10.0)
 
 
+@given(
+    "{count:d} nodes and an organisation of {rate:d} requests a second that"
+    " sends {factor:d} times its rate"
+)
+def step_fleet_of_rate(context, count, rate, factor):
+    limits = Organisation(float(rate), float(rate))
+    start_fleet(context, count, limits, QUOTA, factor)
+
+
+@when(
+    "half of the nodes with two seeds are apart for {span_s:d} seconds and then"
+    " restart"
+)
+def step_restart_with_seeds(context, span_s):
+    fleet = context.fleet
+    context.load.run(4.0)
+    others = [n for n in fleet.node_ids if n not in fleet.seeds]
+    names = [*fleet.seeds[:2], *others][: len(fleet.node_ids) // 2]
+    fleet.partition(set(names))
+    context.load.run(span_s)
+    for name in names:
+        fleet.kill(name)
+        context.load.run(1.0)
+        fleet.start(name)
+        context.load.run(3.0)
+    context.load.run(12.0)
+
+
 @when("a node starts whose seeds stay stale for {span_s:d} seconds")
 def step_stale_seeds(context, span_s):
     fleet = context.fleet
