--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -2,6 +2,8 @@
 # Installs the libraries and the project's packages into target/deps.
 set -eu
 cd "$(dirname "$0")/.."
+# A build that fails leaves no archive of older code.
+rm -f target/modules.archive
 stamp=target/deps/.installed
 if [ "$stamp" -ot deploy/requirements.txt ] || [ ! -e "$stamp" ]; then
     python3 -m pip install -q --disable-pip-version-check -U \
