Do not refuse requests for an overload that has ended elsewhere

What callers would see: for up to 10 s after an overload, other nodes refused requests of lower priorities because of a queue that was gone, and one node could report any number of waiting requests. Cause: the sum of rooms was valid for 10 s and reported every 8 s in calm; waiting requests were limited to 100,000 a node. Change: the sum is valid for 2.5 s, an emptied queue is reported at once, nodes ask each second while others wait, and a node counts for at most 400 waiting requests. A repeated answer of the home grants its tries once.

--- a/packages/egretrock-core/src/egretrock/coordination/evidence/_evidence.py
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/_evidence.py
@@ -142,7 +142,9 @@
     def is_in_trouble(self) -> bool:
         """Returns whether the home lists targets, or requests wait."""
         is_waiting = self.room is not None and any(self.room.waiting)
-        return bool(self.table.version) or is_waiting
+        others = self.table.room_of_others
+        others_wait = others is not None and any(others[2])
+        return bool(self.table.version) or is_waiting or others_wait
 
     def is_report_due(
         self, home: NodeId, start_delay_s: float, now_s: float
@@ -346,6 +348,10 @@
             return
         state = self._service_state(service, now_s)
         state.used_s = now_s
+        had_waiting = state.room is not None and any(state.room.waiting)
+        if had_waiting and not any(room.waiting):
+            # Others must not refuse requests for a queue that is gone.
+            state.has_news = True
         state.room = room
 
     def fleet_room(
--- a/packages/egretrock-core/src/egretrock/coordination/evidence/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/_home.py
@@ -29,7 +29,10 @@
 #: attempts without failure that are added to those of a node.
 _NODE_EXCESS_RATE = 0.35
 _NODE_PRIOR_ATTEMPTS = 4.0
-#: Attempts per second and waiting requests of one node that are believed.
+#: Waiting requests of one priority that one node is believed; more than a node
+#: queues for a service.
+_MAX_WAITING = 400
+#: Attempts per second of one node that are believed.
 _MAX_FIGURE = 100_000.0
 
 
@@ -303,7 +306,7 @@
         ranks = room[2][:MAX_RANKS]
         waiting += [0] * (len(ranks) - len(waiting))
         for rank, count in enumerate(ranks):
-            waiting[rank] += min(max(0, count), int(_MAX_FIGURE))
+            waiting[rank] += min(max(0, count), _MAX_WAITING)
     if is_empty:
         return None
     return round(offered_per_s, 1), round(taken_per_s, 1), tuple(waiting)
--- a/packages/egretrock-core/src/egretrock/coordination/evidence/_settings.py
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/_settings.py
@@ -17,7 +17,8 @@
         table_valid_s: Time for which a table of the home is used, counted
             from the report that it answers.
         room_valid_s: The same for the sum of the rooms; above
-            ``calm_interval_s``.
+            ``trouble_interval_s``, and so short that no request is refused
+            for an overload that has ended.
         report_memory_s: Time for which the home keeps a report.
         judge_interval_s: Shortest time between two judgements of a service.
         push_interval_s: Shortest time between two tables that a node is sent
@@ -58,7 +59,7 @@
     trouble_interval_s: float = 1.0
     calm_interval_s: float = 8.0
     table_valid_s: float = 3.0
-    room_valid_s: float = 10.0
+    room_valid_s: float = 2.5
     report_memory_s: float = 12.0
     judge_interval_s: float = 0.25
     push_interval_s: float = 1.0
--- a/packages/egretrock-core/src/egretrock/coordination/evidence/_tables.py
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/_tables.py
@@ -98,6 +98,7 @@
         is_news = body.is_judged and body.version != self.version
         if is_news and entries is None and body.version:
             return False
+        is_repeated = asked_s == self.asked_s
         self.asked_s = asked_s
         self.room_of_others = body.room
         if not body.is_judged:
@@ -109,7 +110,8 @@
             )
         self._judged_s = asked_s
         for target in body.tries:
-            if target in targets:
+            # A datagram that arrives twice grants its tries once.
+            if target in targets and not is_repeated:
                 until_s = asked_s + self._settings.try_valid_s
                 self._tries_until_s[targets[target]] = until_s
         return True
