Import the homes of targets and the records of keys on first use

What callers would see: a gateway imported 540 modules before its first answer, with the evidence of failures among them, where its test allows 530. Cause: the packages of targets and of idempotency keys import the parts of a home, which no gateway has. Measured: the scenario 'A gateway imports only what its first answer needs' failed with 540 and passes.

--- a/packages/egretrock-core/src/egretrock/coordination/idempotency/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/idempotency/__init__.py
@@ -7,8 +7,9 @@
 missed is over.
 """
 
-from egretrock.coordination.idempotency._client import IdempotencyClient
-from egretrock.coordination.idempotency._home import IdempotencyHome
+import importlib
+from typing import TYPE_CHECKING, Any
+
 from egretrock.coordination.idempotency._messages import (
     Answer,
     Begin,
@@ -23,8 +24,23 @@
     RecordsAck,
 )
 from egretrock.coordination.idempotency._records import RecordKey, record_key
-from egretrock.coordination.idempotency._settings import IdempotencySettings
-from egretrock.coordination.idempotency._view import PartitionView
+
+if TYPE_CHECKING:
+    from egretrock.coordination.idempotency._client import IdempotencyClient
+    from egretrock.coordination.idempotency._home import IdempotencyHome
+    from egretrock.coordination.idempotency._settings import (
+        IdempotencySettings,
+    )
+    from egretrock.coordination.idempotency._view import PartitionView
+
+#: Modules of the names that only a node with records uses. They are imported on
+#: first use, so that a gateway, which keeps no records, starts sooner.
+_MODULES = {
+    "IdempotencyClient": "_client",
+    "IdempotencyHome": "_home",
+    "IdempotencySettings": "_settings",
+    "PartitionView": "_view",
+}
 
 #: Messages that ``IdempotencyHome`` handles.
 IDEMPOTENCY_HOME_MESSAGES = (Begin, Complete, Offer, Ready, Records, RecordsAck)
@@ -52,3 +68,10 @@
     "RecordsAck",
     "record_key",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"{__name__}.{_MODULES[name]}")
+    return getattr(module, name)
--- a/packages/egretrock-core/src/egretrock/coordination/targets/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/__init__.py
@@ -5,6 +5,9 @@
 permits. Nodes ask it for permits through a ``TargetClient``.
 """
 
+import importlib
+from typing import TYPE_CHECKING, Any
+
 from egretrock.coordination.targets._client import (
     Assignment,
     AttemptResult,
@@ -12,7 +15,6 @@
     TargetClient,
 )
 from egretrock.coordination.targets._fleet import FleetView
-from egretrock.coordination.targets._home import TargetHome
 from egretrock.coordination.targets._messages import (
     PERMIT_VALIDITY_S,
     STANDING_VALIDITY_S,
@@ -31,16 +33,30 @@
     TargetCondition,
     Trust,
 )
-from egretrock.coordination.targets._parts import Targets
-from egretrock.coordination.targets._probes import (
-    ProbeKind,
-    ProbeRequest,
-    ProbeResult,
-)
-from egretrock.coordination.targets._record import Health
 from egretrock.coordination.targets._stake import RequestStake
 from egretrock.state.config import usable_target
 
+if TYPE_CHECKING:
+    from egretrock.coordination.targets._home import TargetHome
+    from egretrock.coordination.targets._parts import Targets
+    from egretrock.coordination.targets._probes import (
+        ProbeKind,
+        ProbeRequest,
+        ProbeResult,
+    )
+    from egretrock.coordination.targets._record import Health
+
+#: Modules of the names that only a home uses. They are imported on first use,
+#: so that a gateway, which has no homes of targets, starts sooner.
+_MODULES = {
+    "Health": "_record",
+    "ProbeKind": "_probes",
+    "ProbeRequest": "_probes",
+    "ProbeResult": "_probes",
+    "TargetHome": "_home",
+    "Targets": "_parts",
+}
+
 __all__ = [
     "PERMIT_VALIDITY_S",
     "STANDING_VALIDITY_S",
@@ -72,3 +88,10 @@
     "Trust",
     "usable_target",
 ]
+
+
+def __getattr__(name: str) -> Any:
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    module = importlib.import_module(f"{__name__}.{_MODULES[name]}")
+    return getattr(module, name)
