Let stakes and evidence act only where a route has a target latency

What an operator would see: the choice by stake and the evidence of failures acted on every service, also where the configuration does not say when an answer is late. Change: requests of routes without a target latency have no stake, and a service without such a route has no evidence. Scenarios show that nothing is then asked, reported or told. NullEvidence and EvidenceSource, which nothing used, are gone.

--- a/packages/egretrock-core/src/egretrock/coordination/evidence/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/__init__.py
@@ -2,9 +2,7 @@
 
 from egretrock.coordination.evidence._evidence import (
     EvidenceChange,
-    EvidenceSource,
     FleetEvidence,
-    NullEvidence,
 )
 from egretrock.coordination.evidence._judge import VerdictCause
 from egretrock.coordination.evidence._messages import (
@@ -19,9 +17,7 @@
     "EvidenceChange",
     "EvidenceReport",
     "EvidenceSettings",
-    "EvidenceSource",
     "EvidenceTable",
     "FleetEvidence",
-    "NullEvidence",
     "VerdictCause",
 ]
--- a/packages/egretrock-core/src/egretrock/coordination/evidence/_evidence.py
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/_evidence.py
@@ -15,7 +15,7 @@
 import collections
 from collections.abc import Callable, Collection, Mapping
 from functools import singledispatchmethod
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from egretrock.coordination.base import (
     Counters,
@@ -202,33 +202,6 @@
         return self._sent_s_by_number.get(number)
 
 
-class EvidenceSource(Protocol):
-    """What the choice of a target reads and records."""
-
-    def record(
-        self,
-        service: ServiceId,
-        target: TargetId,
-        instance: InstanceId | None,
-        outcome: AttemptOutcome,
-        now_s: float,
-    ) -> None:
-        """Records the outcome of an attempt."""
-        ...
-
-    def failure_rate(self, target: TargetId, now_s: float) -> float:
-        """Returns the share of failures that is known, from 0 to 1."""
-        ...
-
-    def is_out(self, target: TargetId, now_s: float) -> bool:
-        """Returns whether a target gets only tries."""
-        ...
-
-    def take_try(self, target: TargetId, now_s: float) -> bool:
-        """Takes a try for a repeatable request to a target that is out."""
-        ...
-
-
 class FleetEvidence(MessageHandler):
     """Sums what all nodes see of targets, and tells which of them fail.
 
@@ -238,6 +211,8 @@
             object until they change.
         settings: Settings.
         counters: Metrics.
+        is_wanted: Returns whether the configuration asks for the evidence of a
+            service. Of others nothing is recorded, reported or told.
     """
 
     def __init__(
@@ -246,7 +221,9 @@
         targets_of: Callable[[ServiceId], Mapping[TargetId, Target]],
         settings: EvidenceSettings = _DEFAULTS,
         counters: Counters | None = None,
+        is_wanted: Callable[[ServiceId], bool] = lambda service: True,
     ) -> None:
+        self._is_wanted = is_wanted
         self._members = members
         self._targets_of = targets_of
         self._settings = settings
@@ -261,6 +238,9 @@
         self._changes: list[EvidenceChange] = []
         self._next_clean_up_s = float("-inf")
 
+    def _is_enabled(self, service: ServiceId) -> bool:
+        return self._settings.enabled and self._is_wanted(service)
+
     # Methods for the choice of a target.
 
     def record(
@@ -281,7 +261,7 @@
                 out.
             now_s: Time.
         """
-        if outcome not in _COUNTED or not self._settings.enabled:
+        if outcome not in _COUNTED or not self._is_enabled(service):
             return
         state = self._service_state(service, now_s)
         totals = state.totals.get(target)
@@ -344,7 +324,7 @@
         self, service: ServiceId, room: ServiceRoom, now_s: float
     ) -> None:
         """Replaces the room of a service at this node."""
-        if not self._settings.enabled:
+        if not self._is_enabled(service):
             return
         state = self._service_state(service, now_s)
         state.used_s = now_s
@@ -573,43 +553,3 @@
                     del state.totals[target]
             if now_s - state.used_s > _UNUSED_S:
                 del self._services[service]
-
-
-class NullEvidence:
-    """Stands in for ``FleetEvidence`` where nothing is known of targets."""
-
-    def record(
-        self,
-        service: ServiceId,
-        target: TargetId,
-        instance: InstanceId | None,
-        outcome: AttemptOutcome,
-        now_s: float,
-    ) -> None:
-        """Does nothing."""
-
-    def failure_rate(self, target: TargetId, now_s: float) -> float:
-        """Returns 0."""
-        del target, now_s
-        return 0.0
-
-    def is_out(self, target: TargetId, now_s: float) -> bool:
-        """Returns False."""
-        del target, now_s
-        return False
-
-    def take_try(self, target: TargetId, now_s: float) -> bool:
-        """Returns False."""
-        del target, now_s
-        return False
-
-    def set_room(
-        self, service: ServiceId, room: ServiceRoom, now_s: float
-    ) -> None:
-        """Does nothing."""
-
-    def fleet_room(
-        self, service: ServiceId, now_s: float
-    ) -> ServiceRoom | None:
-        """Returns None."""
-        del service, now_s
--- a/packages/egretrock-core/src/egretrock/coordination/evidence/tests/evidence.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/tests/evidence.feature
@@ -95,6 +95,16 @@
       | 20% of the messages are lost                      |
       | half of the messages are duplicated               |
 
+  Scenario Outline: A service that the configuration does not ask it for has no evidence
+    Given a node with evidence that is <switch>
+    When it loses 3 of 4 answers of one target
+    Then it sends no report, and no target of the service fails or is out
+
+    Examples:
+      | switch                        |
+      | not asked for by the service  |
+      | switched off                  |
+
   # Guards against a table that was valid before a freeze.
   Scenario: A node that was frozen uses no old verdict
     Given 19 nodes that use 40 targets
--- a/packages/egretrock-core/src/egretrock/coordination/evidence/tests/steps/evidence_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/evidence/tests/steps/evidence_steps.py
@@ -6,6 +6,7 @@
 from egretrock.coordination.evidence import (
     EVIDENCE_MESSAGES,
     EvidenceReport,
+    EvidenceSettings,
     EvidenceTable,
     FleetEvidence,
 )
@@ -505,6 +506,32 @@
     )
 
 
+@given("a node with evidence that is {switch}")
+def step_unasked(context, switch):
+    nodes = [peer(number, 1).node for number in range(4)]
+    other = next(node for node in nodes if node != home_of(nodes))
+    is_off = switch == "switched off"
+    context.node = FleetEvidence(
+        OneNode(other, nodes),
+        lambda service: SERVICE_TARGETS,
+        EvidenceSettings(enabled=not is_off),
+        is_wanted=lambda service: is_off,
+    )
+
+
+@then("it sends no report, and no target of the service fails or is out")
+def step_nothing_known(context):
+    context.node.set_room(SERVICE, ServiceRoom(9.0, 1.0, (5,)), 0.0)
+    for tick in range(100):
+        now_s = tick / 10
+        assert not context.node.on_tick(now_s)
+        for target in TARGETS:
+            assert context.node.failure_rate(target, now_s) == 0.0
+            assert not context.node.is_out(target, now_s)
+            assert not context.node.take_try(target, now_s)
+    assert context.node.fleet_room(SERVICE, now_s) is None
+
+
 @when("it loses 3 of 4 answers of one target")
 def step_loses(context):
     outcomes = [AttemptOutcome.LOST] * 3 + [AttemptOutcome.OK]
--- a/packages/egretrock-core/src/egretrock/coordination/probing/_needs.py
+++ b/packages/egretrock-core/src/egretrock/coordination/probing/_needs.py
@@ -62,7 +62,8 @@
     """
     stake = ticket.stake
     if stake is None:
-        return Needs()
+        # Without a stake it may be a request that may run only once.
+        return Needs(may_try=False)
     is_held = now_s - ticket.requested_s < settings.max_hold_s
     if not stake.work_s:
         return Needs(
--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -221,6 +221,7 @@
             self.publication.usable_targets,
             settings.evidence,
             counters,
+            self.publication.has_target_latency,
         )
         self.chooser = TargetChooser(
             self.publication.usable_targets,
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -607,9 +607,15 @@
         )
         self._poll_permits(now_s)
 
-    def _stake_of(self, exchange: Exchange) -> RequestStake:
-        """Returns what the choice of a target takes into account."""
+    def _stake_of(self, exchange: Exchange) -> RequestStake | None:
+        """Returns what the choice of a target takes into account.
+
+        A route without a target latency does not say when an answer is late,
+        so its requests have no stake.
+        """
         match = exchange.match
+        if match.route.target_latency_ms is None:
+            return None
         return RequestStake(
             is_repeatable=exchange.is_idempotent and exchange.body.replayable,
             objective_s=exchange.objective_s,
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -178,6 +178,11 @@
   Scenario: A stop reports the requests that it aborts
     Then the report of a stop lists the sent request as unknown and the queued one as not_run
 
+  Scenario: A request of a route without a target latency has no stake
+    When a read is answered after 0.2 s, then another read and a payout arrive
+    Then permits are asked for without a stake
+
   Scenario: A request for a permit says what is at stake
+    Given routes with a target latency of 2 s
     When a read is answered after 0.2 s, then another read and a payout arrive
     Then permits are asked for with a work of 0.2 s for a repeatable request, and of unknown time for one that may run once
