--- a/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_publication.py
@@ -38,7 +38,7 @@
         self._generation = -1
         self._config: PublishedConfig | None = None
         self._usable_targets: dict[ServiceId, dict[TargetId, Target]] = {}
-        self._timed_services: frozenset[ServiceId] = frozenset()
+        self._timed_services: frozenset[ServiceId] | None = None
 
     def refresh(self) -> PublishedState | None:
         """Applies the entries of the directory if they changed.
@@ -64,16 +64,20 @@
             }
             for service_id, service in config.services.items()
         }
-        self._timed_services = frozenset(
-            service_id
-            for route in config.routes.values()
-            if route.target_latency_ms is not None
-            for service_id in (route.service, *route.weights)
-        )
+        self._timed_services = None
         return published
 
     def has_target_latency(self, service: ServiceId) -> bool:
         """Returns whether a route to a service has a target latency."""
+        if self._config is None:
+            return False
+        if self._timed_services is None:
+            self._timed_services = frozenset(
+                service_id
+                for route in self._config.routes.values()
+                if route.target_latency_ms is not None
+                for service_id in (route.service, *route.weights)
+            )
         return service in self._timed_services
 
     # Methods of FleetPort.
