--- a/packages/egretrock-standins/src/egretrock_standins/balancing_experiment/__main__.py
+++ b/packages/egretrock-standins/src/egretrock_standins/balancing_experiment/__main__.py
@@ -160,7 +160,8 @@
                     f"  {run_policy.value:<12}{route:<9}{offered:>6}"
                     f"  in time{100 * result.in_time / offered:>6.1f}%"
                     f"  late{100 * result.late / offered:>5.1f}%"
-                    f"  refused{100 * result.refused / offered:>5.1f}%"
+                    f"  refused{100 * result.refused / offered:>6.1f}%"
+                    f"  after{result.mean_refusal_wait_ms():>6.1f} ms"
                     f"  expired{result.expired:>4}"
                     f"  in vain{result.in_vain:>4}"
                     f"  time in vain{result.vain_s:>7.1f} s",
--- a/packages/egretrock-standins/src/egretrock_standins/balancing_experiment/_overload.py
+++ b/packages/egretrock-standins/src/egretrock_standins/balancing_experiment/_overload.py
@@ -102,6 +102,9 @@
         expired: Ended at their deadline while they waited.
         in_vain: Begun at a target and not finished before their deadline.
         vain_s: Time that callers spent on requests that were not answered.
+        refusal_count: Refusals, also of requests that were served when they
+            returned.
+        refusal_wait_s: Sum of the waits before these refusals.
     """
 
     offered: int = 0
@@ -111,6 +114,14 @@
     expired: int = 0
     in_vain: int = 0
     vain_s: float = 0.0
+    refusal_count: int = 0
+    refusal_wait_s: float = 0.0
+
+    def mean_refusal_wait_ms(self) -> float:
+        """Returns the mean wait before a refusal in ms; 0 without one."""
+        if not self.refusal_count:
+            return 0.0
+        return 1000 * self.refusal_wait_s / self.refusal_count
 
 
 class _Request(msgspec.Struct, frozen=True):
@@ -318,6 +329,8 @@
         request, at_s, visit = self._visits.pop(item.ticket)
         result = self._result_of(request)
         result.vain_s += now_s - at_s
+        result.refusal_count += 1
+        result.refusal_wait_s += now_s - at_s
         return_s = self._pattern.return_s
         if return_s is None:
             return_s = refusal.retry_after_ms / 1000
