Split the request pipeline into its steps and the requests that wait

No change of behaviour is intended; only names and places change. Moved out of _pipeline.py (1,214 to 799 lines): - the requests that wait for a target: TargetWaiters in _target_waiters.py, together with WorkTimes from _work_times.py, which is gone - the requests that wait for a token: TokenWaiters in _token_waiters.py - the checks of head, node and waiting requests, and the times of a drain: RequestChecks in _checks.py, which was _refusals.py - the instances of targets and reports of crashes: CrashEvidence in _suspicions.py MemoryBudget moved from _memory.py, which is gone, to _body.py, so that two modules come and two go. One call differs: an evicted request leaves the waiting requests directly, not through cancel_pending, as a queued request has no attempt to abandon.

No test was touched.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/__init__.py
@@ -1,7 +1,7 @@
 """The request pipeline: from the head of a request to its answer."""
 
+from egretrock_node.protocol.requests._body import MemoryBudget
 from egretrock_node.protocol.requests._exchange import Exchange
-from egretrock_node.protocol.requests._memory import MemoryBudget
 from egretrock_node.protocol.requests._pipeline import RequestPipeline
 from egretrock_node.protocol.requests._ports import (
     AttemptHandle,
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_pipeline.py
@@ -1,38 +1,19 @@
 """The steps of a request, from its head to its answer or refusal."""
 
-import collections
-import itertools
-
 import logbook
 
 from egretrock.coordination.base import Counters, Outbound, isolated
 from egretrock.coordination.bounds import LimitReport
-from egretrock.coordination.idempotency import (
-    BeginOutcome,
-    BeginResult,
-    record_key,
-)
-from egretrock.coordination.queueing import CallerAges, QueuedRequest
+from egretrock.coordination.idempotency import BeginOutcome, BeginResult
 from egretrock.coordination.retries import FailedAttempt, RetryState
-from egretrock.coordination.targets import (
-    Assignment,
-    AttemptOutcome,
-    AttemptResult,
-    Permit,
-    RequestStake,
-)
-from egretrock.state.config import (
-    Access,
-    PublishedConfig,
-)
+from egretrock.coordination.targets import AttemptOutcome, AttemptResult, Permit
+from egretrock.state.config import PublishedConfig
 from egretrock.state.ids import (
     AttemptId,
     Incarnation,
     InstanceId,
-    OrganisationId,
     ServiceId,
     TargetId,
-    TicketId,
 )
 from egretrock.state.outcome import (
     Refusal,
@@ -47,11 +28,14 @@
     RequestIds,
     Routing,
     TargetProtocol,
-    bad_request,
-    digest_key,
-    filter_request_headers,
-    header_values,
-    path_contains_key,
+)
+from egretrock_node.protocol.requests._body import MemoryBudget
+from egretrock_node.protocol.requests._checks import (
+    DEADLINE_EXCEEDED,
+    IDEMPOTENCY_UNAVAILABLE,
+    NODE_STOPPING,
+    RequestChecks,
+    refusal_after,
 )
 from egretrock_node.protocol.requests._exchange import (
     Attempt,
@@ -59,7 +43,6 @@
     refusal_not_run,
 )
 from egretrock_node.protocol.requests._in_force import ConfigInForce
-from egretrock_node.protocol.requests._memory import MemoryBudget
 from egretrock_node.protocol.requests._ports import (
     CallerPort,
     CoordinationParts,
@@ -67,29 +50,20 @@
     ProcessServices,
     TargetPort,
 )
-from egretrock_node.protocol.requests._refusals import (
-    DEADLINE_EXCEEDED,
-    IDEMPOTENCY_UNAVAILABLE,
-    KEY_UNKNOWN,
-    NODE_STOPPING,
-    NOT_FRESH,
-    NOT_READY,
-    refusal_after,
-)
-from egretrock_node.protocol.requests._suspicions import (
-    CrashSuspicion,
-    CrashSuspicions,
+from egretrock_node.protocol.requests._suspicions import CrashEvidence
+from egretrock_node.protocol.requests._target_waiters import (
+    TargetWaiters,
+    WorkTimes,
 )
+from egretrock_node.protocol.requests._token_waiters import TokenWaiters
 from egretrock_node.protocol.requests._values import (
     NO_ORGANISATION,
     AttemptFailure,
     RequestSnapshot,
     Stage,
 )
-from egretrock_node.protocol.requests._work_times import WorkTimes
 
 _log = logbook.Logger("egretrock.requests")
-_MAX_IDEMPOTENCY_KEY_BYTES = 255
 #: Weight of the newest sample in the moving average of the slot time, which
 #: is the time from sending a request to the end of its answer.
 _SLOT_TIME_WEIGHT = 0.05
@@ -100,13 +74,8 @@
 #: target that was removed, moved or taken out of service. After one more the
 #: request is refused.
 _MAX_UNUSABLE_PERMITS = 20
-#: Requests of one organisation that may wait for a token at the same time.
-_MAX_TOKEN_WAITERS = 500
 #: A request is sent in a drain only if this many mean slot times are left.
 _DRAIN_SLOT_TIMES = 3.0
-#: Delay after which another permit is requested for a request that could not
-#: use one. It bounds the rate of the probes that a slow service causes.
-_PERMIT_RETRY_S = 0.02
 _OUTCOME_BY_REASON = {
     RetryReason.CONNECT_FAILED: AttemptOutcome.CONNECT_FAILED,
     RetryReason.CONNECTION_LOST: AttemptOutcome.LOST,
@@ -131,6 +100,9 @@
     methods of the exchange; the daemon calls ``on_tick`` every few
     milliseconds and ``poll`` after messages from other nodes.
 
+    It delegates the checks to ``RequestChecks``, the waits to ``TokenWaiters``
+    and ``TargetWaiters``, and the search for crashes to ``CrashEvidence``.
+
     Args:
         parts: The coordination parts.
         targets: Connections to targets.
@@ -164,33 +136,38 @@
         self.body_budget = MemoryBudget(settings.max_held_body_bytes)
         self.body_budget.count_unsent = lambda: targets.unsent_bytes
         self.answer_budget = MemoryBudget(settings.max_answer_bytes)
-        self._credentials = credentials
         self.protocol = protocol
         self.caller_protocol = caller_protocol or CallerProtocol()
         self._ids = RequestIds(incarnation)
-        self._tickets = itertools.count(1)
-        self._awaiting_permit: dict[TicketId, Exchange] = {}
-        self._queued: dict[TicketId, Exchange] = {}
-        #: Tickets whose permits were declined, and when to request others.
-        self._declined_until_s: dict[TicketId, float] = {}
-        self._token_waiters: dict[
-            OrganisationId, collections.deque[Exchange]
-        ] = {}
         self._awaiting_record: dict[AttemptId, Exchange] = {}
         # Keyed by exchange: callers may choose ids, so ids can repeat.
         self._in_flight: dict[Exchange, None] = {}
         self._config_in_force = ConfigInForce(
             settings.data_centre, environment.rng
         )
-        self._instances: dict[TargetId, InstanceId] = {}
-        self._suspicions = CrashSuspicions()
+        self._checks = RequestChecks(
+            parts.fleet,
+            credentials,
+            self._config_in_force,
+            self._current_routing,
+            self.answer_budget,
+            settings,
+            self.counters,
+        )
+        self._crash_evidence = CrashEvidence(
+            parts.quarantine, self.counters, self._clock, self._send
+        )
         self._slot_time_s: dict[ServiceId, float] = {}
-        self._caller_ages = CallerAges()
         self._work_times = WorkTimes()
-        self._refuses_new = False
-        self._refuses_from_s = self._serves_until_s = float("inf")
-        self._is_polling_permits = False
-        self._poll_permits_again = False
+        self._target_waiters = TargetWaiters(
+            parts, self._work_times, self._clock, self._send, self._connect
+        )
+        self._token_waiters = TokenWaiters(
+            parts.limits,
+            self._checks.recheck,
+            self._target_waiters.enqueue,
+            self._send,
+        )
 
     def now(self) -> float:
         """Returns the time of the node's clock, in seconds."""
@@ -206,7 +183,7 @@
         exchange = Exchange(self, caller, head, request_id, now_s)
         exchange.caller_deadline_ms = terms.deadline_ms
         self._in_flight[exchange] = None
-        refusal = self._check_head(exchange, now_s)
+        refusal = self._checks.check_head(exchange, now_s)
         if refusal is not None:
             exchange.refuse(refusal)
         elif head.expects_continue:
@@ -221,9 +198,7 @@
             except Exception as error:
                 # The requests after this one still end at their deadlines.
                 self._on_error("request", error)
-        self._parts.queue.expire(now_s)
-        self._refuse_evicted()
-        self._request_declined_again(now_s)
+        self._target_waiters.on_tick(now_s)
         self.poll(now_s)
 
     def _check_time(self, exchange: Exchange, now_s: float) -> None:
@@ -238,13 +213,12 @@
         """Processes new decisions of the coordination parts."""
         for result in self._parts.idempotency.poll(now_s):
             self._on_begin_result(result, now_s)
-        for organisation in list(self._token_waiters):
-            self._serve_token_waiters(organisation, now_s)
-        self._poll_permits(now_s)
+        self._token_waiters.serve(now_s)
+        self._target_waiters.poll(now_s)
 
     def refuse_new_requests(self) -> None:
         """Refuses all new requests from now on; used at the end of a drain."""
-        self._refuses_new = True
+        self._checks.refuse_new_requests()
 
     def start_drain(self, refuse_from_s: float, end_s: float) -> None:
         """Prepares for a drain that aborts the open requests at ``end_s``.
@@ -254,8 +228,7 @@
                 ``end_s`` are refused, as they may still run then.
             end_s: Earliest time at which open requests are aborted.
         """
-        self._refuses_from_s = refuse_from_s
-        self._serves_until_s = end_s
+        self._checks.start_drain(refuse_from_s, end_s)
 
     def snapshots(self) -> list[RequestSnapshot]:
         """Returns the requests that have no complete answer yet."""
@@ -308,106 +281,6 @@
 
     # Steps of a request.
 
-    def _check_head(self, exchange: Exchange, now_s: float) -> Refusal | None:
-        head = exchange.head
-        presented = self._credentials.extract(head.headers, head.query)
-        if presented.is_error():
-            return presented.error
-        routing = self._current_routing(now_s)
-        if routing is None:
-            return NOT_READY
-        key = presented.ok.key
-        if key is not None and path_contains_key(key, head.path):
-            return bad_request("the key must not stand in the path")
-        hosts = header_values(head.headers, b"host")
-        found = routing.match(head.path, head.method, hosts[0])
-        if found.is_error():
-            return found.error
-        match = found.ok
-        exchange.match = match
-        exchange.headers = filter_request_headers(presented.ok.headers)
-        exchange.query = presented.ok.query
-        deadline_ms = match.profile.deadline_ms
-        if exchange.caller_deadline_ms is not None:
-            deadline_ms = min(deadline_ms, exchange.caller_deadline_ms)
-        exchange.deadline_s = now_s + deadline_ms / 1000
-        exchange.objective_s = exchange.deadline_s
-        if match.route.target_latency_ms is not None:
-            exchange.objective_s = (
-                now_s
-                + match.route.target_latency_ms / 1000
-                - self._caller_age_s(exchange)
-            )
-        if match.route.access is Access.KEYED:
-            if key is None:
-                message = "the route needs a key and the request has none"
-                return refusal_not_run(RefusalCode.KEY_MISSING, message)
-            exchange.digest = digest_key(key)
-            exchange.organisation = routing.organisation_of(exchange.digest)
-            if exchange.organisation is None:
-                return KEY_UNKNOWN
-        refusal = self._check_node(exchange, now_s)
-        if refusal is not None or match.route.idempotent:
-            return refusal
-        return self._read_record_key(exchange)
-
-    def _caller_age_s(self, exchange: Exchange) -> float:
-        """Returns the seconds since the first attempt of a caller."""
-        left_ms = exchange.caller_deadline_ms
-        if left_ms is None:
-            return 0.0
-        return self._caller_ages.age_s(exchange.match.id, left_ms)
-
-    def _check_node(self, exchange: Exchange, now_s: float) -> Refusal | None:
-        fleet = self._parts.fleet
-        if not fleet.is_fresh(now_s):
-            return NOT_FRESH
-        if not fleet.is_ready(now_s):
-            return NOT_READY
-        if self._refuses_new or (
-            now_s >= self._refuses_from_s
-            and exchange.deadline_s > self._serves_until_s
-        ):
-            return NODE_STOPPING
-        if self.answer_budget.exceeds_hard_limit:
-            self.counters.increment("answers.memory_full")
-            message = (
-                f"{self.answer_budget.recount()} bytes of answers wait for"
-                " callers that read slowly"
-            )
-            return Refusal(
-                RefusalCode.QUEUE_FULL, RunState.NOT_RUN, message, 1000
-            )
-        out_since_s = self._config_in_force.out_since_s
-        if (
-            out_since_s is not None
-            and now_s - out_since_s >= self.settings.out_grace_s
-        ):
-            message = (
-                f"data centre {self.settings.data_centre!r} is out of service"
-            )
-            return refusal_not_run(RefusalCode.DATA_CENTRE_OUT, message)
-        return None
-
-    def _read_record_key(self, exchange: Exchange) -> Refusal | None:
-        values = header_values(exchange.head.headers, b"idempotency-key")
-        if not values:
-            return None
-        value = values[0].strip()
-        if len(values) > 1 or not value:
-            return bad_request("Idempotency-Key must be given once, not empty")
-        if len(value) > _MAX_IDEMPOTENCY_KEY_BYTES:
-            return bad_request(
-                f"Idempotency-Key has {len(value)} bytes;"
-                f" at most {_MAX_IDEMPOTENCY_KEY_BYTES} are allowed"
-            )
-        exchange.record = record_key(
-            exchange.organisation or NO_ORGANISATION,
-            exchange.match.id,
-            value.decode("latin-1"),
-        )
-        return None
-
     def on_body_ready(self, exchange: Exchange) -> None:
         """Checks a request again and begins its record or queues it.
 
@@ -424,9 +297,9 @@
                 "left_ms": round((exchange.deadline_s - now_s) * 1000),
             },
         )
-        refusal = self._recheck(exchange, now_s)
+        refusal = self._checks.recheck(exchange, now_s)
         if refusal is None:
-            refusal = self._check_node(exchange, now_s)
+            refusal = self._checks.check_node(exchange, now_s)
         if refusal is not None:
             exchange.refuse(refusal)
         elif exchange.record is None:
@@ -454,7 +327,7 @@
             return
         if result.outcome is BeginOutcome.FIRST:
             exchange.dispatch_until_s = result.dispatch_until_s
-            refusal = self._recheck(exchange, now_s)
+            refusal = self._checks.recheck(exchange, now_s)
             if refusal is not None:
                 exchange.refuse(refusal)
             else:
@@ -486,243 +359,23 @@
             return
         organisation = exchange.organisation
         if organisation is None:
-            self._enqueue(exchange, now_s)
-            return
-        if organisation in self._token_waiters:
-            self._serve_token_waiters(organisation, now_s)
-        limits = self._parts.limits
-        admitted = limits.admit(organisation, now_s)
-        if admitted.is_ok():
-            self._enqueue(exchange, now_s)
-            return
-        self._send(limits.request_tokens(organisation, now_s))
-        # If this node is the organisation's home, it may have granted tokens
-        # synchronously.
-        if limits.admit(organisation, now_s, is_recheck=True).is_ok():
-            self._enqueue(exchange, now_s)
-            return
-        until_s = limits.wait_until_s(organisation, now_s)
-        waiters = self._token_waiters.get(organisation)
-        if until_s is None or (waiters and len(waiters) >= _MAX_TOKEN_WAITERS):
-            exchange.refuse(admitted.error)
-            return
-        exchange.stage = Stage.TOKEN
-        exchange.token_until_s = until_s
-        if waiters is None:
-            waiters = self._token_waiters[organisation] = collections.deque()
-        waiters.append(exchange)
-
-    def _serve_token_waiters(
-        self, organisation: OrganisationId, now_s: float
-    ) -> None:
-        """Admits waiting requests in order while tokens are available."""
-        waiters = self._token_waiters.pop(organisation)
-        limits = self._parts.limits
-        while waiters:
-            exchange = waiters[0]
-            if not exchange.is_done:
-                refusal = self._recheck(exchange, now_s)
-                if refusal is None:
-                    admitted = limits.admit(
-                        organisation, now_s, is_recheck=True
-                    )
-                    if admitted.is_error():
-                        if now_s < exchange.token_until_s:
-                            self._send(
-                                limits.request_tokens(organisation, now_s)
-                            )
-                            # Ending an exchange may have let its caller start
-                            # another, which began a new deque.
-                            newer = self._token_waiters.get(organisation, ())
-                            waiters.extend(newer)
-                            self._token_waiters[organisation] = waiters
-                            return
-                        refusal = admitted.error
-                if refusal is None:
-                    self._enqueue(exchange, now_s)
-                else:
-                    exchange.refuse(refusal)
-            waiters.popleft()
-
-    def _enqueue(self, exchange: Exchange, now_s: float) -> None:
-        ticket = self._new_ticket(exchange)
-        item = QueuedRequest(
-            ticket=ticket,
-            service=exchange.match.route.service,
-            organisation=exchange.organisation or NO_ORGANISATION,
-            deadline_s=exchange.deadline_s,
-            objective_s=exchange.objective_s,
-            priority=self._priority_of(exchange),
-            route=exchange.match.id,
-            is_repeat=exchange.attempt_count > 0,
-            is_charged=exchange.must_report_slot_time,
-            is_repeatable=exchange.is_idempotent,
-            excluded=exchange.excluded,
-        )
-        queue = self._parts.queue
-        offered = queue.offer(item, now_s)
-        if offered.is_error():
-            del self._awaiting_permit[ticket]
-            exchange.ticket = None
-            exchange.refuse(offered.error)
-            return
-        exchange.queue_ticket = ticket
-        self._queued[ticket] = exchange
-        # Ending an evicted request polls permits, and the queue may give one
-        # to this request, whose ticket then passes to another.
-        self._ask_permit(exchange, now_s)
-        self._refuse_evicted()
-
-    def _priority_of(self, exchange: Exchange) -> int:
-        """Returns the priority of the organisation, else of the route."""
-        config = self._parts.fleet.config()
-        if config is not None and exchange.organisation is not None:
-            organisation = config.organisations.get(exchange.organisation)
-            if organisation is not None and organisation.priority is not None:
-                return organisation.priority
-        return exchange.match.route.priority
-
-    def _refuse_evicted(self) -> None:
-        """Refuses the requests that the queue has evicted."""
-        queue = self._parts.queue
-        for evicted in queue.take_evicted():
-            refusal = queue.refusal_of(evicted)
-            exchange = self._queued.get(evicted.ticket)
-            if exchange is not None:
-                self.cancel_pending(exchange, AttemptOutcome.UNUSED)
-                exchange.refuse(refusal)
-
-    def _ask_permit(self, exchange: Exchange, now_s: float) -> None:
-        exchange.stage = Stage.QUEUED
-        self._send(
-            self._parts.permits.request(
-                exchange.ticket,
-                exchange.match.route.service,
-                exchange.organisation or NO_ORGANISATION,
-                exchange.excluded,
-                exchange.deadline_s,
-                now_s,
-                self._stake_of(exchange),
-            )
-        )
-        self._poll_permits(now_s)
-
-    def _stake_of(self, exchange: Exchange) -> RequestStake | None:
-        """Returns what the choice of a target takes into account.
-
-        A route without a target latency does not say when an answer is late,
-        so its requests have no stake.
-        """
-        match = exchange.match
-        if match.route.target_latency_ms is None:
-            return None
-        return RequestStake(
-            is_repeatable=exchange.is_idempotent and exchange.body.replayable,
-            objective_s=exchange.objective_s,
-            deadline_s=exchange.deadline_s,
-            work_s=self._work_times.expected_s(match.id),
-            priority=self._priority_of(exchange),
-        )
-
-    def _poll_permits(self, now_s: float) -> None:
-        """Assigns the permits that have arrived to waiting requests.
+            self._target_waiters.enqueue(exchange, now_s)
+        else:
+            self._token_waiters.admit(exchange, organisation, now_s)
 
-        Using a permit can make the next one available and so call this
-        method again; such a nested call only makes the outer loop repeat.
-        """
-        self._poll_permits_again = True
-        if self._is_polling_permits:
-            return
-        self._is_polling_permits = True
-        try:
-            while self._poll_permits_again:
-                self._poll_permits_again = False
-                for assignment in self._parts.permits.poll(now_s):
-                    self._on_assignment(assignment, now_s)
-        finally:
-            self._is_polling_permits = False
-
-    def _on_assignment(self, assignment: Assignment, now_s: float) -> None:
-        exchange = self._awaiting_permit.pop(assignment.ticket, None)
-        if exchange is not None and exchange.queue_ticket is not None:
-            exchange = self._next_queued(exchange, assignment.permit, now_s)
-        if exchange is None:
-            unused = AttemptResult(AttemptOutcome.UNUSED)
-            self._send(
-                self._parts.permits.finish(assignment.permit, unused, now_s)
-            )
-            return
-        exchange.ticket = None
+    def _connect(self, exchange: Exchange, permit: Permit) -> None:
+        """Starts an attempt with a permit."""
         exchange.stage = Stage.CONNECTING
-        attempt = Attempt(exchange, self, assignment.permit)
+        attempt = Attempt(exchange, self, permit)
         exchange.attempt = attempt
         attempt.handle = self._targets.create_attempt(
-            assignment.permit.address,
+            permit.address,
             exchange.request_id.encode(),
             not exchange.is_idempotent,
             attempt,
         )
         attempt.handle.start()
 
-    def _next_queued(
-        self, requester: Exchange, permit: Permit, now_s: float
-    ) -> Exchange | None:
-        """Returns the request that the queue serves next, or None.
-
-        The returned request uses the permit that was granted for the ticket
-        of ``requester``. In exchange ``requester`` waits on with the ticket of
-        the returned request. If no request can use the permit, ``requester``
-        waits on for another one.
-        """
-        service = requester.match.route.service
-        while item := self._parts.queue.take(
-            service,
-            now_s,
-            permit.expected_slowdown,
-            permit.target,
-            permit.only_repeatable,
-        ):
-            chosen = self._queued.pop(item.ticket, None)
-            if chosen is None:
-                # The caller has disconnected, so no slot time was used.
-                if not item.is_charged:
-                    self._parts.queue.report_slot_time(
-                        item.organisation, service, 0.0
-                    )
-                continue
-            chosen.queue_ticket = None
-            chosen.must_report_slot_time = True
-            if chosen is not requester:
-                requester.ticket = chosen.ticket
-                self._awaiting_permit[requester.ticket] = requester
-            return chosen
-        if now_s >= requester.deadline_s:
-            # The queue dropped the requester at its deadline.
-            requester.ticket = None
-            requester.refuse(DEADLINE_EXCEEDED)
-            return None
-        _log.debug(
-            "permit declined",
-            extra={
-                "service": service,
-                "target": permit.target,
-                "slowdown": round(permit.expected_slowdown, 2),
-                "left_ms": round((requester.deadline_s - now_s) * 1000),
-            },
-        )
-        self._awaiting_permit[requester.ticket] = requester
-        self._declined_until_s[requester.ticket] = now_s + _PERMIT_RETRY_S
-        return None
-
-    def _request_declined_again(self, now_s: float) -> None:
-        """Requests permits for the requests whose last one was declined."""
-        for ticket, until_s in list(self._declined_until_s.items()):
-            if now_s < until_s:
-                return
-            # An earlier one of these permits may have ended the request.
-            if self._declined_until_s.pop(ticket, None) is not None:
-                self._ask_permit(self._awaiting_permit[ticket], now_s)
-
     # Checks that are repeated before each step.
 
     def prepare_dispatch(
@@ -735,7 +388,7 @@
         Returns:
             Whether the request may be sent now; it is then counted as sent.
         """
-        refusal = self._recheck(exchange, now_s)
+        refusal = self._checks.recheck(exchange, now_s)
         if refusal is None and self._is_cut_by_drain(exchange, now_s):
             refusal = NODE_STOPPING
         if refusal is None:
@@ -791,31 +444,15 @@
             message = f"{_MAX_UNUSABLE_PERMITS} permits in turn were not usable"
             exchange.refuse(refusal_not_run(RefusalCode.NO_TARGET, message))
         else:
-            self._new_ticket(exchange)
-            self._ask_permit(exchange, now_s)
+            self._target_waiters.request_another(exchange, now_s)
         return False
 
     def _is_cut_by_drain(self, exchange: Exchange, now_s: float) -> bool:
         """Returns whether the drain may abort a request that is sent now."""
-        if exchange.deadline_s <= self._serves_until_s:
+        if exchange.deadline_s <= self._checks.serves_until_s:
             return False
         mean_s = self._slot_time_s.get(exchange.match.route.service, 0.0)
-        return now_s + _DRAIN_SLOT_TIMES * mean_s > self._serves_until_s
-
-    def _recheck(self, exchange: Exchange, now_s: float) -> Refusal | None:
-        """Repeats the checks whose result may change while a request waits."""
-        if now_s >= exchange.deadline_s:
-            return DEADLINE_EXCEEDED
-        if not self._parts.fleet.is_fresh(now_s):
-            return NOT_FRESH
-        routing = self._current_routing(now_s)
-        if routing is None:
-            return NOT_READY
-        if exchange.digest is not None:
-            owner = routing.organisation_of(exchange.digest)
-            if owner != exchange.organisation:
-                return KEY_UNKNOWN
-        return None
+        return now_s + _DRAIN_SLOT_TIMES * mean_s > self._checks.serves_until_s
 
     def _is_usable(self, exchange: Exchange, permit: Permit) -> bool:
         service = exchange.match.route.service
@@ -838,8 +475,7 @@
 
     def _remove_unlisted(self, config: PublishedConfig) -> None:
         listed = {t for s in config.services.values() for t in s.targets}
-        for target in self._instances.keys() - listed:
-            del self._instances[target]
+        self._crash_evidence.retain(listed)
         for service in self._slot_time_s.keys() - config.services.keys():
             del self._slot_time_s[service]
         self._work_times.retain(config.routes.keys())
@@ -871,7 +507,7 @@
         attempt = exchange.attempt
         if exchange.stage is Stage.ANSWERING or attempt.is_kept:
             return False
-        if exchange.deadline_s > self._serves_until_s:
+        if exchange.deadline_s > self._checks.serves_until_s:
             # The drain may abort a second attempt that the first, which
             # started earlier, does not need.
             return False
@@ -883,17 +519,8 @@
     def on_instance_seen(
         self, target: TargetId, instance: InstanceId | None
     ) -> None:
-        """Records which instance of a target answered.
-
-        If another instance than before answers, the earlier one has ended.
-        """
-        if instance is None or self._instances.get(target) == instance:
-            return
-        self._instances[target] = instance
-        now_s = self.now()
-        self._report_crashes(
-            self._suspicions.on_answered(target, instance, now_s), now_s
-        )
+        """Records which instance of a target answered."""
+        self._crash_evidence.on_instance_seen(target, instance)
 
     def on_limit_reported(self, target: TargetId, report: LimitReport) -> None:
         """Passes on what an answer says about the limit of its target."""
@@ -937,14 +564,15 @@
         self._return_permit(exchange, attempt, result, now_s)
         target = attempt.permit.target
         if failure.is_connection_refused:
-            confirmed = self._suspicions.on_connection_refused(target, now_s)
-            self._report_crashes(confirmed, now_s)
+            self._crash_evidence.on_connection_refused(target, now_s)
         answering = exchange.stage is Stage.ANSWERING
         is_lost = (
             failure.reason is RetryReason.CONNECTION_LOST and attempt.is_sent
         )
         if is_lost:
-            self._add_suspicion(exchange, attempt, now_s)
+            self._crash_evidence.suspect(
+                exchange.fingerprint, attempt.permit, now_s
+            )
             if not answering and self._is_retryable(exchange, attempt):
                 exchange.stage = Stage.CHECKING
 
@@ -969,39 +597,13 @@
         """Handles the result of the liveness check after a lost connection."""
         now_s = self.now()
         if is_alive is False:
-            confirmed = self._suspicions.on_connection_refused(
+            self._crash_evidence.on_connection_refused(
                 attempt.permit.target, now_s
             )
-            self._report_crashes(confirmed, now_s)
         if exchange.stage is not Stage.CHECKING:
             return
         self._retry(exchange, attempt, failure, is_alive, now_s)
 
-    def _add_suspicion(
-        self, exchange: Exchange, attempt: Attempt, now_s: float
-    ) -> None:
-        target = attempt.permit.target
-        instance = attempt.permit.instance or self._instances.get(target)
-        # If no instance id is reported, the target's name is used instead.
-        suspicion = CrashSuspicion(
-            exchange.fingerprint, target, instance or InstanceId(target), now_s
-        )
-        self._suspicions.add(suspicion)
-
-    def _report_crashes(
-        self, confirmed: list[CrashSuspicion], now_s: float
-    ) -> None:
-        for suspicion in confirmed:
-            self.counters.increment("crash_evidence")
-            self._send(
-                self._parts.quarantine.report(
-                    suspicion.fingerprint,
-                    suspicion.target,
-                    suspicion.instance,
-                    now_s,
-                )
-            )
-
     def _is_retryable(self, exchange: Exchange, attempt: Attempt) -> bool:
         if not attempt.is_sent:
             return True
@@ -1015,7 +617,7 @@
         is_alive: bool | None,
         now_s: float,
     ) -> None:
-        refusal = self._recheck(exchange, now_s)
+        refusal = self._checks.recheck(exchange, now_s)
         if refusal is not None:
             exchange.refuse(refusal)
         elif self._is_retry_allowed(
@@ -1073,25 +675,14 @@
         self, exchange: Exchange, attempt: Attempt, now_s: float
     ) -> None:
         exchange.excluded |= {attempt.permit.target}
-        self._enqueue(exchange, now_s)
+        self._target_waiters.enqueue(exchange, now_s)
 
     def cancel_pending(
         self, exchange: Exchange, outcome: AttemptOutcome
     ) -> None:
         """Removes a request from all queues and abandons its attempt."""
         now_s = self.now()
-        if exchange.ticket is not None:
-            ticket = exchange.ticket
-            is_declined = self._declined_until_s.pop(ticket, None) is not None
-            if (
-                self._awaiting_permit.pop(ticket, None) is not None
-                and not is_declined
-            ):
-                self._send(self._parts.permits.cancel(ticket, now_s))
-            exchange.ticket = None
-        if exchange.queue_ticket is not None:
-            self._queued.pop(exchange.queue_ticket, None)
-            exchange.queue_ticket = None
+        self._target_waiters.cancel(exchange, now_s)
         attempt = exchange.attempt
         if attempt is not None and attempt.is_active:
             silent_s = exchange.silent_s(now_s)
@@ -1122,10 +713,10 @@
             self._complete_record(
                 exchange, state, status if answered else None, now_s
             )
-        if self._awaiting_permit:
+        if self._target_waiters.awaits_permit:
             # If this node is the home, the returned permit may have been
             # granted to another request synchronously.
-            self._poll_permits(now_s)
+            self._target_waiters.poll(now_s)
 
     def _complete_record(
         self,
@@ -1160,7 +751,7 @@
             RunState.UNKNOWN,
             "the target made no progress",
         )
-        if self._recheck(
+        if self._checks.recheck(
             exchange, now_s
         ) is not None or not self._is_retry_allowed(
             exchange, attempt, failure, None, now_s
@@ -1203,12 +794,6 @@
                 attempt.permit.expected_slowdown,
             )
 
-    def _new_ticket(self, exchange: Exchange) -> TicketId:
-        ticket = TicketId(next(self._tickets))
-        exchange.ticket = ticket
-        self._awaiting_permit[ticket] = exchange
-        return ticket
-
     def _send(self, messages: list[Outbound]) -> None:
         if messages:
             self._send_out(messages)
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_suspicions.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_suspicions.py
@@ -1,8 +1,13 @@
 """Connections lost during a request, whose instance may have crashed."""
 
+from collections.abc import Callable, Set
+
 import msgspec
 
+from egretrock.coordination.base import Counters, Outbound
+from egretrock.coordination.targets import Permit
 from egretrock.state.ids import Fingerprint, InstanceId, TargetId
+from egretrock_node.protocol.requests._ports import QuarantinePort
 
 _MAX_SUSPICIONS = 1000
 
@@ -89,3 +94,87 @@
                 self._by_target[target] = kept
             else:
                 del self._by_target[target]
+
+
+class CrashEvidence:
+    """Reports requests to the quarantine whose instance has crashed.
+
+    It knows which instance of each target answered last. A crash is confirmed
+    if another instance answers, or the target refuses a connection.
+
+    Args:
+        quarantine: The quarantine of requests that crash targets.
+        counters: Counters of the node.
+        clock: Returns the time of the node's clock, in seconds.
+        send: Sends messages to other nodes.
+    """
+
+    def __init__(
+        self,
+        quarantine: QuarantinePort,
+        counters: Counters,
+        clock: Callable[[], float],
+        send: Callable[[list[Outbound]], None],
+    ) -> None:
+        self._quarantine = quarantine
+        self._counters = counters
+        self._clock = clock
+        self._send = send
+        self._instances: dict[TargetId, InstanceId] = {}
+        self._suspicions = CrashSuspicions()
+
+    def suspect(
+        self, fingerprint: Fingerprint, permit: Permit, now_s: float
+    ) -> None:
+        """Records a request whose connection was lost while it ran.
+
+        Args:
+            fingerprint: Digest of the request.
+            permit: Permit with which it was sent.
+            now_s: Time of the loss.
+        """
+        target = permit.target
+        instance = permit.instance or self._instances.get(target)
+        # If no instance id is reported, the target's name is used instead.
+        suspicion = CrashSuspicion(
+            fingerprint, target, instance or InstanceId(target), now_s
+        )
+        self._suspicions.add(suspicion)
+
+    def on_instance_seen(
+        self, target: TargetId, instance: InstanceId | None
+    ) -> None:
+        """Records which instance of a target answered.
+
+        If another instance than before answers, the earlier one has ended.
+        """
+        if instance is None or self._instances.get(target) == instance:
+            return
+        self._instances[target] = instance
+        now_s = self._clock()
+        self._report(
+            self._suspicions.on_answered(target, instance, now_s), now_s
+        )
+
+    def on_connection_refused(self, target: TargetId, now_s: float) -> None:
+        """Reports the suspicions of a target that refused a connection."""
+        self._report(
+            self._suspicions.on_connection_refused(target, now_s), now_s
+        )
+
+    def retain(self, targets: Set[TargetId]) -> None:
+        """Keeps only the instances of ``targets``."""
+        for target in self._instances.keys() - targets:
+            del self._instances[target]
+
+    def _report(self, confirmed: list[CrashSuspicion], now_s: float) -> None:
+        for suspicion in confirmed:
+            self._counters.increment("crash_evidence")
+            self._send(
+                self._quarantine.report(
+                    suspicion.fingerprint,
+                    suspicion.target,
+                    suspicion.instance,
+                    now_s,
+                )
+            )
