Serve waiting requests also where a refusal serves them meanwhile

What callers would see: requests that wait for a token of their rate are not looked at until the next tick, with an error in the log. Cause: refusing a request of one organisation can lead to serving those of all; the outer loop then looks for an organisation that has none any more. Change: such an organisation is passed over. The scenario raised KeyError before.

--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/_token_waiters.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/_token_waiters.py
@@ -75,7 +75,8 @@
 
     def _serve(self, organisation: OrganisationId, now_s: float) -> None:
         """Admits waiting requests in order while tokens are available."""
-        waiters = self._waiters.pop(organisation)
+        # Refusing a request of another organisation may have served this one.
+        waiters = self._waiters.pop(organisation, ())
         limits = self._limits
         while waiters:
             exchange = waiters[0]
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/requests.feature
@@ -178,6 +178,13 @@
   Scenario: A stop reports the requests that it aborts
     Then the report of a stop lists the sent request as unknown and the queued one as not_run
 
+  # Guards against a request of one organisation that is refused and lets its
+  # caller's next one serve those of all organisations meanwhile.
+  Scenario: Waiting requests are served while others are being refused
+    Given waiting requests of two organisations, one of which has no token
+    When serving them refuses the first, which serves them again
+    Then the second is sent on once
+
   Scenario: A request of a route without a target latency has no stake
     When a read is answered after 0.2 s, then another read and a payout arrive
     Then permits are asked for without a stake
--- a/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/requests/tests/steps/requests_steps.py
@@ -3,7 +3,7 @@
 
 import msgspec
 from behave import given, then, when
-from expression import Error
+from expression import Error, Ok
 
 from egretrock.coordination.idempotency import BeginOutcome
 from egretrock.coordination.targets import AttemptOutcome
@@ -12,6 +12,7 @@
     DataCentreState,
     TargetPublishedState,
 )
+from egretrock.state.ids import OrganisationId
 from egretrock.state.outcome import (
     Refusal,
     RefusalCode,
@@ -20,6 +21,7 @@
 )
 from egretrock_node.protocol.http import AnswerHead, RequestHead
 from egretrock_node.protocol.requests import AttemptFailure
+from egretrock_node.protocol.requests._token_waiters import TokenWaiters
 from egretrock_node.tests.path_fakes import (
     CountingCounters,
     make_config,
@@ -578,6 +580,42 @@
     assert item.priority == priority, item
 
 
+@given("waiting requests of two organisations, one of which has no token")
+def step_token_waiters(context):
+    refused = Error(Refusal(RefusalCode.OVER_RATE, RunState.NOT_RUN, "", 1))
+    context.admitted = {"a": refused, "b": refused}
+    context.enqueued = []
+    limits = Mock()
+    limits.admit.side_effect = lambda o, now_s, is_recheck=False: (
+        context.admitted[o]
+    )
+    limits.wait_until_s.return_value = 1.0
+    context.waiters = TokenWaiters(
+        limits,
+        lambda exchange, now_s: None,
+        lambda exchange, now_s: context.enqueued.append(exchange),
+        lambda messages: None,
+    )
+    context.waiting = {name: Mock(is_done=False) for name in "ab"}
+    for name, exchange in context.waiting.items():
+        context.waiters.admit(exchange, OrganisationId(name), 0.0)
+
+
+@when("serving them refuses the first, which serves them again")
+def step_serve_again(context):
+    context.admitted["b"] = Ok(None)
+    context.waiting["a"].refuse.side_effect = lambda _: context.waiters.serve(
+        2.0
+    )
+    context.waiters.serve(2.0)
+
+
+@then("the second is sent on once")
+def step_sent_on_once(context):
+    assert context.enqueued == [context.waiting["b"]]
+    context.waiting["a"].refuse.assert_called_once()
+
+
 @given("routes with a target latency of {latency_s:g} s")
 def step_target_latency(context, latency_s):
     fleet = context.parts.fleet
