Add the delay of a message to the ages that it tells

Updates waited up to two seconds in the paced queue of a reader, but told the age that their entries had when they were made.

Datagrams with a message that tells an age now carry the sender's clock and the least difference that it has seen in the other direction, which bound the delay from above in a queue, on a link, at each hop and in a busy or frozen process. An update whose delay cannot be known yet confirms nothing; a probe makes the next one known.

--- a/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/__init__.py
@@ -1,6 +1,7 @@
 """Shared by all coordination parts: messages, hashing, counters, timers."""
 
 from egretrock.coordination.base._buckets import TokenBucket
+from egretrock.coordination.base._delays import ClockStamp, MessageDelays
 from egretrock.coordination.base._errors import (
     ErrorHandler,
     isolated,
@@ -20,6 +21,7 @@
 )
 from egretrock.coordination.base._parts import (
     Counters,
+    DelayProbe,
     Message,
     MessageHandler,
     NullCounters,
@@ -32,9 +34,12 @@
 
 __all__ = [
     "PARTITION_COUNT",
+    "ClockStamp",
     "Counters",
+    "DelayProbe",
     "ErrorHandler",
     "Message",
+    "MessageDelays",
     "MessageHandler",
     "NullCounters",
     "Outbound",
--- a/packages/egretrock-core/src/egretrock/coordination/base/_parts.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_parts.py
@@ -1,7 +1,7 @@
 """Messages between nodes and the interface of a coordination part."""
 
 from collections.abc import Callable
-from typing import ClassVar, Protocol
+from typing import ClassVar, Protocol, Self
 
 import msgspec
 
@@ -14,9 +14,27 @@
     Attributes:
         is_paced: Whether messages of the type leave in order and at a rate
             that slow links can take, since many of them may be sent at once.
+        is_aged: Whether messages of the type tell how old something is, so
+            that each delay on their way must be added by ``delayed``.
     """
 
     is_paced: ClassVar[bool] = False
+    is_aged: ClassVar[bool] = False
+
+    def delayed(self, delay_s: float) -> Self:
+        """Returns the message with a delay added to the ages in it.
+
+        Types with ``is_aged`` override it. An infinite delay means that it is
+        not known how old anything in the message is.
+        """
+        del delay_s
+        return self
+
+
+class DelayProbe(Message, frozen=True, tag="delay.probe"):
+    """Lets its receiver measure delays; the stamp is all that it is for."""
+
+    is_aged: ClassVar[bool] = True
 
 
 class Outbound(msgspec.Struct, frozen=True):
--- a/packages/egretrock-core/src/egretrock/coordination/base/tests/base.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/base/tests/base.feature
@@ -33,3 +33,18 @@
     Given a paced queue of 10000 bytes a second, at most 1000 at once
     When 500 items of 300 bytes are added
     Then 333 items were taken up, and the others refused
+
+  # Guards against a delay that is taken for shorter than it was, by which old
+  # entries look new.
+  Scenario Outline: The delay of a message is never taken for shorter than it was
+    Given two processes whose clocks differ by <difference> seconds
+    When each sends 40 messages that take up to <delay> seconds, after which <event>
+    Then no delay was taken for shorter than it was, or for unknown after <count> messages
+    And the delays that are known exceed the actual ones by at most <excess> seconds
+
+    Examples:
+      | difference | delay | event                    | count | excess |
+      | 0          | 0.01  | nothing happens          | 1     | 0.012  |
+      | 5e5        | 2     | nothing happens          | 1     | 2.002  |
+      | -70        | 0.5   | the first one restarts   | 2     | 0.502  |
+      | 0.3        | 0.5   | their clocks drift apart | 1     | 0.505  |
--- a/packages/egretrock-core/src/egretrock/coordination/base/tests/steps/base_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/tests/steps/base_steps.py
@@ -1,13 +1,17 @@
 import itertools
+import random
 
 from behave import given, then, when
 
 from egretrock.coordination.base import (
+    MessageDelays,
     PacedQueue,
     PacingSettings,
+    Peer,
     TimerService,
     rendezvous_node,
 )
+from egretrock.state.ids import NodeId
 
 
 @given("{node_count:d} nodes and {key_count:d} keys")
@@ -133,3 +137,71 @@
     assert (
         sum(context.added) == count and context.added[:count] == [True] * count
     )
+
+
+class Clocked:
+    """A process whose clock differs from the true time."""
+
+    def __init__(self, incarnation, ahead_s):
+        self.peer = Peer(NodeId(f"10.0.0.{incarnation % 10}:7"), incarnation)
+        self.delays = MessageDelays(self.peer)
+        self.ahead_s = ahead_s
+        self.drift = 0.0
+
+    def now_s(self, true_s):
+        return 1e6 + (1 + self.drift) * true_s + self.ahead_s
+
+
+@given("two processes whose clocks differ by {difference_s:g} seconds")
+def step_clocked(context, difference_s):
+    context.clocked = [Clocked(1, 0.0), Clocked(2, difference_s)]
+
+
+@when(
+    "each sends 40 messages that take up to {delay_s:g} seconds, after which"
+    " {event}"
+)
+def step_delays(context, delay_s, event):
+    rng = random.Random(3)
+    context.found = []
+    one, other = context.clocked
+    for number in range(120):
+        if number == 40 and event == "the first one restarts":
+            one = Clocked(11, 1234.0)
+        if number == 40 and event == "their clocks drift apart":
+            one.drift = 2e-5
+        true_s = 5.0 * number
+        for sender, receiver in ((one, other), (other, one)):
+            stamp = sender.delays.stamp(
+                receiver.peer.node, sender.now_s(true_s)
+            )
+            actual_s = rng.uniform(0.001, delay_s)
+            true_s += actual_s
+            now_s = receiver.now_s(true_s)
+            bound_s = receiver.delays.receive(sender.peer, stamp, now_s)
+            context.found.append((actual_s, bound_s))
+
+
+@then(
+    "no delay was taken for shorter than it was, or for unknown after"
+    " {count:d} messages"
+)
+def step_bounds(context, count):
+    # Stamps are in whole milliseconds; the drift adds up over a minute.
+    short = [
+        (actual_s, bound_s)
+        for actual_s, bound_s in context.found
+        if bound_s is not None and bound_s < actual_s - 0.004
+    ]
+    assert not short, short[:5]
+    unknown = sum(bound_s is None for _, bound_s in context.found)
+    assert unknown <= count, unknown
+
+
+@then(
+    "the delays that are known exceed the actual ones by at most"
+    " {excess_s:g} seconds"
+)
+def step_excess(context, excess_s):
+    excesses_s = [b - a for a, b in context.found if b is not None]
+    assert max(excesses_s) <= excess_s, max(excesses_s)
--- a/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
@@ -6,6 +6,7 @@
 from egretrock.coordination.directory._directory import Directory
 from egretrock.coordination.directory._messages import (
     DIRECTORY_MESSAGES,
+    MAX_AGE_S,
     NO_POSITION,
     Change,
     Position,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "DIRECTORY_MESSAGES",
+    "MAX_AGE_S",
     "NO_POSITION",
     "Change",
     "Directory",
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -1,6 +1,7 @@
 """The directory of one node: its entries, reads and updates to peers."""
 
 import collections
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 from functools import singledispatchmethod
@@ -20,6 +21,7 @@
 from egretrock.coordination.directory._assembly import Assembly
 from egretrock.coordination.directory._held import HeldEntries
 from egretrock.coordination.directory._messages import (
+    MAX_AGE_S,
     NO_POSITION,
     Change,
     Position,
@@ -647,9 +649,11 @@
     # Freshness.
 
     def _confirm(self, sent_s: float, now_s: float) -> None:
-        if self.age_s(now_s) > self._settings.outage_s:
-            self._outage_end_s = now_s
+        outage_s = self._settings.outage_s
+        was_outage = self.age_s(now_s) > outage_s
         self._confirmed_s = max(self._confirmed_s, sent_s)
+        if was_outage and self.age_s(now_s) <= outage_s:
+            self._outage_end_s = now_s
 
     def _on_read_ok(self, now_s: float) -> None:
         self._failed_reads = 0
@@ -692,7 +696,7 @@
     ) -> list[Outbound]:
         self._last_number += 1
         fragments = pack(changes)
-        age_ms = int(min(self.age_s(now_s), 3600.0) * 1000)
+        age_ms = math.ceil(min(self.age_s(now_s), MAX_AGE_S) * 1000)
         return [
             Outbound(
                 node,
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
@@ -1,7 +1,8 @@
 """Messages that distribute the directory, and their packing."""
 
+import math
 from collections.abc import Iterator, Sequence
-from typing import ClassVar
+from typing import ClassVar, Self
 
 import msgspec
 
@@ -42,6 +43,10 @@
     value: bytes | None
 
 
+#: Greatest age that updates tell; stands for any greater and unknown ones.
+MAX_AGE_S = 3600.0
+
+
 class Update(Message, frozen=True, omit_defaults=True, tag="directory.news"):
     """Changes between two positions, or a snapshot of the directory.
 
@@ -50,7 +55,8 @@
             ``is_snapshot``.
         until: Position of the directory after them. If its era differs, the
             changes lead from exactly ``since`` to the restored entries.
-        age_ms: Milliseconds since the read that confirmed ``until`` was sent.
+        age_ms: Milliseconds since ``until`` was confirmed, when the message
+            was made; on receipt, the delay on the way is part of it.
         is_snapshot: Whether the message holds all entries.
         number: Sequence number of the message at the node that created it,
             the same in all fragments.
@@ -63,6 +69,7 @@
     """
 
     is_paced: ClassVar[bool] = True
+    is_aged: ClassVar[bool] = True
 
     since: Position
     until: Position
@@ -74,9 +81,20 @@
     data: bytes = b""
     origin: NodeId | None = None
 
+    def delayed(self, delay_s: float) -> Self:
+        """Returns the update with a delay added to its age."""
+        age_s = min(self.age_ms / 1000 + delay_s, MAX_AGE_S)
+        age_ms = math.ceil(age_s * 1000)
+        return msgspec.structs.replace(self, age_ms=age_ms)
+
 
 class UpdateRequest(Message, frozen=True, tag="directory.want"):
-    """Requests the changes after a position, or a snapshot if it has none."""
+    """Requests the changes after a position, or a snapshot if it has none.
+
+    It has no age, but its stamp tells how long the answer is under way.
+    """
+
+    is_aged: ClassVar[bool] = True
 
     since: Position
 
--- a/packages/egretrock-core/src/egretrock/coordination/gossip/tests/steps/gossip_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/gossip/tests/steps/gossip_steps.py
@@ -135,11 +135,12 @@
         sent_bytes = 0
         send_copy = fleet.network._send_copy
 
-        def measure(sender, message, codec=codec, send_copy=send_copy):
+        def measure(sender, sent, codec=codec, send_copy=send_copy):
             nonlocal sent_bytes
-            if isinstance(message.body, GOSSIP_MESSAGES):
-                sent_bytes += sum(map(len, codec.encode([message.body])))
-            send_copy(sender, message)
+            body = sent.message.body
+            if isinstance(body, GOSSIP_MESSAGES):
+                sent_bytes += sum(map(len, codec.encode([body])))
+            send_copy(sender, sent)
 
         fleet.network._send_copy = measure
         fleet.run_for(5.0)
--- a/packages/egretrock-node/src/egretrock_node/protocol/peers/_codec.py
+++ b/packages/egretrock-node/src/egretrock_node/protocol/peers/_codec.py
@@ -4,12 +4,12 @@
 
 import msgspec
 
-from egretrock.coordination.base import Message, Peer
+from egretrock.coordination.base import ClockStamp, DelayProbe, Message, Peer
 from egretrock.state.ids import Incarnation, NodeId
 
 #: Major and minor version of the protocol between nodes. A new minor version
 #: only adds fields or messages; another major version is refused.
-VERSION = (1, 0)
+VERSION = (1, 1)
 #: UDP payload that fits into an Ethernet frame without IP fragmentation.
 MAX_DATAGRAM_BYTES = 1400
 
@@ -51,6 +51,7 @@
     sender: NodeId = msgspec.field(name="from")
     inc: Incarnation
     msgs: list[msgspec.Raw]
+    at: ClockStamp | None = None
 
 
 class _VersionOnly(msgspec.Struct):
@@ -65,11 +66,13 @@
         bodies: The messages that could be decoded.
         unknown_count: Number of messages with an unknown tag or invalid
             fields.
+        stamp: Times of the messages; None if none of them tells an age.
     """
 
     sender: Peer
     bodies: list[Message]
     unknown_count: int
+    stamp: ClockStamp | None = None
 
 
 class Codec:
@@ -77,7 +80,11 @@
 
     Args:
         sender: This process.
-        message_types: All message types that it can decode.
+        message_types: All message types that it can decode, besides
+            ``DelayProbe``.
+
+    Attributes:
+        sender: This process.
 
     Raises:
         ValueError: If two types share a tag.
@@ -86,8 +93,9 @@
     def __init__(
         self, sender: Peer, message_types: Iterable[type[Message]]
     ) -> None:
+        self.sender = sender
         self._decoders: dict[str, msgspec.json.Decoder] = {}
-        for message_type in message_types:
+        for message_type in (DelayProbe, *message_types):
             tag = message_type.__struct_config__.tag
             if tag in self._decoders:
                 raise ValueError(f"two message types share the tag {tag!r}")
@@ -99,32 +107,44 @@
         prefix = self._encoder.encode(
             {"v": VERSION, "from": sender.node, "inc": sender.incarnation}
         )
-        self._prefix = prefix[:-1] + b',"msgs":['
+        self._open_envelope = prefix[:-1]
 
-    def encode(self, bodies: Iterable[Message]) -> Iterator[bytes]:
+    def encode(
+        self, bodies: Iterable[Message], stamp: ClockStamp | None = None
+    ) -> Iterator[bytes]:
         """Yields datagrams that contain the messages in order.
 
+        Args:
+            bodies: Messages.
+            stamp: Times of the messages, if any of them tells an age.
+
         Raises:
             OversizeError: If one message is too large for a datagram.
         """
+        prefix = self._prefix(stamp)
         encoded: list[bytes] = []
-        size_bytes = len(self._prefix) + 2
+        size_bytes = len(prefix) + 2
         for body in bodies:
             encoded_body = self._encoder.encode(body)
-            if len(self._prefix) + 2 + len(encoded_body) > MAX_DATAGRAM_BYTES:
-                raise OversizeError(
-                    body, len(self._prefix) + 2 + len(encoded_body)
-                )
+            if len(prefix) + 2 + len(encoded_body) > MAX_DATAGRAM_BYTES:
+                raise OversizeError(body, len(prefix) + 2 + len(encoded_body))
             if (
                 encoded
                 and size_bytes + len(encoded_body) + 1 > MAX_DATAGRAM_BYTES
             ):
-                yield self._join(encoded)
-                encoded, size_bytes = [], len(self._prefix) + 2
+                yield _join(prefix, encoded)
+                encoded, size_bytes = [], len(prefix) + 2
             encoded.append(encoded_body)
             size_bytes += len(encoded_body) + 1
         if encoded:
-            yield self._join(encoded)
+            yield _join(prefix, encoded)
+
+    def _prefix(self, stamp: ClockStamp | None) -> bytes:
+        """Returns the envelope up to the first message."""
+        if stamp is None:
+            return self._open_envelope + b',"msgs":['
+        at = self._encoder.encode(stamp)
+        return self._open_envelope + b',"at":' + at + b',"msgs":['
 
     def decode(self, data: bytes) -> ReceivedDatagram:
         """Decodes a datagram.
@@ -153,7 +173,7 @@
                 bodies.append(body)
         unknown_count = len(envelope.msgs) - len(bodies)
         sender = Peer(envelope.sender, envelope.inc)
-        return ReceivedDatagram(sender, bodies, unknown_count)
+        return ReceivedDatagram(sender, bodies, unknown_count, envelope.at)
 
     def _decode_body(self, raw: msgspec.Raw) -> Message | None:
         try:
@@ -162,8 +182,9 @@
         except (msgspec.MsgspecError, ValueError, RecursionError):
             return None
 
-    def _join(self, encoded: list[bytes]) -> bytes:
-        return self._prefix + b",".join(encoded) + b"]}"
+
+def _join(prefix: bytes, encoded: list[bytes]) -> bytes:
+    return prefix + b",".join(encoded) + b"]}"
 
 
 class _TaggedMessage(msgspec.Struct):
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/_endpoint.py
@@ -2,6 +2,7 @@
 
 import functools
 import ipaddress
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -11,8 +12,10 @@
 
 from egretrock.coordination.base import (
     Counters,
+    DelayProbe,
     ErrorHandler,
     Message,
+    MessageDelays,
     Outbound,
     PacedQueue,
     PacingSettings,
@@ -26,6 +29,7 @@
     BadDatagramError,
     Codec,
     OversizeError,
+    ReceivedDatagram,
     UnknownVersionError,
 )
 from egretrock_node.transport._service import Service
@@ -47,7 +51,9 @@
 
     Messages to one peer that are sent in the same iteration of the reactor
     share datagrams. Those of a paced type leave in order, at a bounded rate;
-    the others do not wait for them.
+    the others do not wait for them. A message that tells an age arrives with
+    the delay on its way added, whether it waited here, on a link or for the
+    receiving process.
 
     Args:
         reactor: Twisted reactor.
@@ -81,7 +87,9 @@
         self._handler = handler
         self._clock = clock
         self._counters = counters
+        self._delays = MessageDelays(codec.sender)
         self._outbox: dict[NodeId, list[Message]] = {}
+        self._outbox_since_s = 0.0
         self._is_flush_scheduled = False
         self._paced: PacedQueue[tuple[NodeId, bytes]] = PacedQueue(
             clock(), pacing
@@ -116,6 +124,8 @@
 
     def send(self, messages: list[Outbound]) -> None:
         """Queues messages to be sent in the next iteration of the reactor."""
+        if messages and not self._outbox:
+            self._outbox_since_s = self._clock()
         for message in messages:
             self._outbox.setdefault(message.to, []).append(message.body)
         if messages and not self._is_flush_scheduled:
@@ -142,23 +152,44 @@
         if received.unknown_count:
             count = received.unknown_count
             self._counters.increment("peers.unknown_messages", count)
+        delay_s = self._delay_s(received)
         for body in received.bodies:
+            if isinstance(body, DelayProbe):
+                continue
             now_s = self._clock()
             with isolated("message from a node", self._on_error):
-                self.send(self._handler(received.sender, body, now_s))
+                aged = body.delayed(delay_s)
+                self.send(self._handler(received.sender, aged, now_s))
+
+    def _delay_s(self, received: ReceivedDatagram) -> float:
+        """Returns how long messages were under way, or infinity if unknown."""
+        if received.stamp is None:
+            return math.inf
+        now_s, sender = self._clock(), received.sender
+        delay_s = self._delays.receive(sender, received.stamp, now_s)
+        is_known = delay_s is not None
+        if is_known:
+            self._counters.observe("peers.delayed", delay_s)
+        else:
+            self._counters.increment("peers.unknown_delays")
+        is_probe = any(isinstance(b, DelayProbe) for b in received.bodies)
+        if not is_probe and self._delays.is_probe_due(sender, is_known, now_s):
+            self.send([Outbound(sender.node, DelayProbe())])
+        return delay_s if is_known else math.inf
 
     def _flush(self) -> None:
         self._is_flush_scheduled = False
         outbox, self._outbox = self._outbox, {}
+        made_s = self._outbox_since_s
         if self._port is None:
             return
         for node, bodies in outbox.items():
             paced = [body for body in bodies if body.is_paced]
             urgent = [body for body in bodies if not body.is_paced]
             with isolated("message to a node", self._on_error):
-                self._send_bodies(node, urgent)
+                self._send_bodies(node, urgent, made_s)
             with isolated("message to a node", self._on_error):
-                self._send_bodies(node, paced, is_paced=True)
+                self._send_bodies(node, paced, made_s, is_paced=True)
         if self._paced_call is None:
             self._send_paced()
 
@@ -176,10 +207,17 @@
             )
 
     def _send_bodies(
-        self, node: NodeId, bodies: list[Message], is_paced: bool = False
+        self,
+        node: NodeId,
+        bodies: list[Message],
+        made_s: float,
+        is_paced: bool = False,
     ) -> None:
         try:
-            datagrams = list(self._codec.encode(bodies))
+            stamp = None
+            if any(body.is_aged for body in bodies):
+                stamp = self._delays.stamp(node, made_s)
+            datagrams = list(self._codec.encode(bodies, stamp))
         except OversizeError as error:
             # Coordination parts limit the size of their messages; one that is
             # too large nevertheless must not prevent sending the others.
@@ -187,7 +225,7 @@
             _log.error("message not sent", extra={"reason": str(error)})
             fitting = [b for b in bodies if type(b) is not error.message_type]
             if len(fitting) < len(bodies):
-                self._send_bodies(node, fitting, is_paced)
+                self._send_bodies(node, fitting, made_s, is_paced)
             return
         for datagram in datagrams:
             if not is_paced:
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/tests/peers.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/tests/peers.feature
@@ -23,6 +23,20 @@
     Then the other has received the heartbeat before the last update
     And the 200 updates arrived in order in at least 0.4 seconds
 
+  # Guards against updates that wait at their sender and look new on arrival.
+  Scenario: An update arrives with the time for which it waited in its age
+    Given two nodes
+    And both have sent each other an update
+    When one sends 500 updates of 800 bytes and then a heartbeat
+    Then the ages of the last 500 updates grow as they arrive, to 1 second or more
+
+  # Guards against an update that is taken for new although its delay cannot be
+  # known yet.
+  Scenario: The age of an update of an unknown node is not known
+    Given two nodes
+    When one sends 1 updates of 10 bytes and then a heartbeat
+    Then the update has the greatest age, and the next one less than a minute
+
   # Guards against one odd message or address that loses all other messages.
   Scenario: An exception for one message does not lose the others
     Given two nodes
--- a/packages/egretrock-node/src/egretrock_node/transport/peers/tests/steps/peers_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/peers/tests/steps/peers_steps.py
@@ -7,7 +7,7 @@
 from twisted.web import resource, server
 
 from egretrock.coordination.base import Outbound, Peer
-from egretrock.coordination.directory import Position, Update
+from egretrock.coordination.directory import MAX_AGE_S, Position, Update
 from egretrock.coordination.fleet import (
     DocumentName,
     Fleet,
@@ -169,7 +169,7 @@
 @when("a foreign host sends noise, 2000 bytes, version 2 and a forged sender")
 def step_invalid_datagrams(context):
     forged = next(Codec(context.one.peer, TYPES).encode([Heartbeat(7)]))
-    version = forged.replace(b"[1,0]", b"[2,0]")
+    version = forged.replace(b"[1,1]", b"[2,1]")
     host, port = context.other.peer.node.split(":")
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as foreign_socket:
         for datagram in (b"noise", b"x" * 2000, version, forged):
@@ -299,3 +299,56 @@
     assert numbers == list(range(count)), numbers
     assert other.received_s[-1] - other.received_s[0] >= span_s
     assert not other.count("peers.send_failures")
+
+
+def updates_to(node):
+    return [body for body in node.received if isinstance(body, Update)]
+
+
+@given("both have sent each other an update")
+def step_introduce(context):
+    position = Position(0, 1)
+    for sender, receiver in (
+        (context.one, context.other),
+        (context.other, context.one),
+    ):
+        message = Outbound(receiver.peer.node, Update(position, position, 0))
+        in_reactor(sender.endpoint.send, [message])
+        wait_until(lambda receiver=receiver: updates_to(receiver))
+    for node in context.nodes:
+        node.received.clear()
+        node.received_s.clear()
+
+
+@then(
+    "the ages of the last {count:d} updates grow as they arrive, to"
+    " {age_s:g} second or more"
+)
+def step_ages(context, count, age_s):
+    other = context.other
+    arrived = [
+        (body.age_ms / 1000, at_s)
+        for body, at_s in zip(other.received, other.received_s, strict=True)
+        if isinstance(body, Update)
+    ]
+    assert len(arrived) == count
+    first_age_s, first_s = arrived[0]
+    for age, at_s in arrived:
+        # What the process does between both times is not part of the delay.
+        assert age - first_age_s >= at_s - first_s - 0.1, (age, at_s)
+    assert arrived[-1][0] >= age_s, arrived[-1]
+
+
+@then("the update has the greatest age, and the next one less than a minute")
+def step_unknown_age(context):
+    other = context.other
+    (update,) = updates_to(other)
+    assert update.age_ms == MAX_AGE_S * 1000, update.age_ms
+    assert other.count("peers.unknown_delays") == 1
+    # The receiver has sent a probe, by which the next delay is known.
+    wait_until(lambda: context.one.count("peers.datagrams_received"))
+    position = Position(0, 1)
+    message = Outbound(other.peer.node, Update(position, position, 0))
+    in_reactor(context.one.endpoint.send, [message])
+    wait_until(lambda: len(updates_to(other)) == 2)
+    assert updates_to(other)[-1].age_ms < 60_000
--- a/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
+++ b/packages/egretrock-standins/src/egretrock_standins/virtual/_network.py
@@ -3,12 +3,21 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 from collections.abc import Callable
 
 import msgspec
 
-from egretrock.coordination.base import Message, Outbound, PacedQueue, Peer
+from egretrock.coordination.base import (
+    ClockStamp,
+    DelayProbe,
+    Message,
+    MessageDelays,
+    Outbound,
+    PacedQueue,
+    Peer,
+)
 from egretrock.state.ids import NodeId
 
 MessageHandler = Callable[[Peer, Message, float], list[Outbound]]
@@ -47,6 +56,15 @@
     link_queue_bytes: int = 50_000
 
 
+@dataclasses.dataclass(frozen=True)
+class _Sent:
+    """A message on its way, with its stamp if it tells an age."""
+
+    sender: Peer
+    message: Outbound
+    stamp: ClockStamp | None
+
+
 @dataclasses.dataclass
 class _Node:
     peer: Peer
@@ -54,15 +72,19 @@
     on_tick: TickHandler
     tick_s: float
     frozen: bool = False
-    queued: list[tuple[Peer, Message]] = dataclasses.field(default_factory=list)
+    queued: list[_Sent] = dataclasses.field(default_factory=list)
     busy_until_s: float = 0.0
     backlog_count: int = 0
     link_busy_until_s: float = 0.0
-    paced: PacedQueue[Outbound] = dataclasses.field(
+    paced: PacedQueue[_Sent] = dataclasses.field(
         default_factory=lambda: PacedQueue(0.0)
     )
     is_paced_scheduled: bool = False
 
+    def __post_init__(self) -> None:
+        """Creates what depends on the process."""
+        self.delays = MessageDelays(self.peer)
+
 
 class VirtualNetwork:
     """Runs nodes in virtual time; the same seed gives the same run.
@@ -118,8 +140,8 @@
         entry = self._nodes[node]
         entry.frozen = False
         queued, entry.queued = entry.queued, []
-        for sender, body in queued:
-            self.send(node, entry.on_message(sender, body, self.now_s))
+        for sent in queued:
+            self._handle(entry, sent)
 
     def block(self, sender: NodeId, receiver: NodeId) -> None:
         """Drops messages from one node to another until ``heal``."""
@@ -148,12 +170,16 @@
             self.sent_count += 1
             if self.on_send is not None:
                 self.on_send(sender, message)
+            stamp = None
+            if message.body.is_aged:
+                stamp = entry.delays.stamp(message.to, self.now_s)
+            sent = _Sent(entry.peer, message, stamp)
             copies = 1 + (self._rng.random() < self.faults.duplication)
             for _ in range(copies):
                 if self.faults.link_bytes_per_s and message.body.is_paced:
-                    entry.paced.add(message, _size_bytes(message))
+                    entry.paced.add(sent, _size_bytes(message))
                 else:
-                    self._send_copy(entry, message)
+                    self._send_copy(entry, sent)
         if not entry.is_paced_scheduled:
             self._send_paced(entry)
 
@@ -161,8 +187,8 @@
         entry.is_paced_scheduled = False
         if self._nodes.get(entry.peer.node) is not entry:
             return
-        for message in entry.paced.take(self.now_s):
-            self._send_copy(entry, message)
+        for sent in entry.paced.take(self.now_s):
+            self._send_copy(entry, sent)
         next_s = entry.paced.next_s(self.now_s)
         if next_s is not None:
             entry.is_paced_scheduled = True
@@ -175,16 +201,16 @@
             callback()
         self.now_s = until_s
 
-    def _send_copy(self, entry: _Node, message: Outbound) -> None:
-        sender = entry.peer
-        left_s = self._pass_link(entry, message)
-        is_blocked = (sender.node, message.to) in self._blocked_links
+    def _send_copy(self, entry: _Node, sent: _Sent) -> None:
+        left_s = self._pass_link(entry, sent.message)
+        link = (sent.sender.node, sent.message.to)
+        is_blocked = link in self._blocked_links
         if left_s is None or is_blocked:
             return
         if self._rng.random() < self.faults.loss:
             return
         at_s = left_s + self._rng.uniform(*self.faults.delay_s)
-        self.call_at(at_s, self._deliver, sender, message)
+        self.call_at(at_s, self._deliver, sent)
 
     def _pass_link(self, entry: _Node, message: Outbound) -> float | None:
         """Returns when a message has left its sender, or None if it is lost."""
@@ -199,47 +225,50 @@
         entry.link_busy_until_s = free_s + size_bytes / bytes_per_s
         return entry.link_busy_until_s
 
-    def _deliver(self, sender: Peer, message: Outbound) -> None:
-        entry = self._nodes.get(message.to)
+    def _deliver(self, sent: _Sent) -> None:
+        entry = self._nodes.get(sent.message.to)
         if entry is None:
             return
         if entry.frozen:
-            entry.queued.append((sender, message.body))
+            entry.queued.append(sent)
             return
         if not self.faults.handling_s:
-            self._handle(entry, sender, message)
+            self._handle(entry, sent)
         elif entry.backlog_count < self.faults.backlog_limit:
             entry.backlog_count += 1
-            self.call_at(
-                max(entry.busy_until_s, self.now_s),
-                self._handle_waiting,
-                entry,
-                sender,
-                message,
-            )
-
-    def _handle_waiting(
-        self, entry: _Node, sender: Peer, message: Outbound
-    ) -> None:
-        if self._nodes.get(message.to) is not entry:
+            at_s = max(entry.busy_until_s, self.now_s)
+            self.call_at(at_s, self._handle_waiting, entry, sent)
+
+    def _handle_waiting(self, entry: _Node, sent: _Sent) -> None:
+        if self._nodes.get(entry.peer.node) is not entry:
             return
         if entry.busy_until_s > self.now_s:
             # Messages that arrived earlier took until then.
-            self.call_at(
-                entry.busy_until_s,
-                self._handle_waiting,
-                entry,
-                sender,
-                message,
-            )
+            self.call_at(entry.busy_until_s, self._handle_waiting, entry, sent)
             return
         entry.backlog_count -= 1
         entry.busy_until_s = self.now_s + self.faults.handling_s
-        self._handle(entry, sender, message)
-
-    def _handle(self, entry: _Node, sender: Peer, message: Outbound) -> None:
-        replies = entry.on_message(sender, message.body, self.now_s)
-        self.send(message.to, replies)
+        self._handle(entry, sent)
+
+    def _handle(self, entry: _Node, sent: _Sent) -> None:
+        body = sent.message.body
+        if sent.stamp is not None:
+            body = self._aged(entry, sent, sent.stamp)
+        if not isinstance(body, DelayProbe):
+            replies = entry.on_message(sent.sender, body, self.now_s)
+            self.send(entry.peer.node, replies)
+
+    def _aged(self, entry: _Node, sent: _Sent, stamp: ClockStamp) -> Message:
+        """Returns a received message with its delay added to its ages."""
+        body, sender = sent.message.body, sent.sender
+        delay_s = entry.delays.receive(sender, stamp, self.now_s)
+        is_known = delay_s is not None
+        if not isinstance(body, DelayProbe) and entry.delays.is_probe_due(
+            sender, is_known, self.now_s
+        ):
+            probe = Outbound(sender.node, DelayProbe())
+            self.send(entry.peer.node, [probe])
+        return body.delayed(delay_s if is_known else math.inf)
 
     def _tick(self, node: _Node) -> None:
         if self._nodes.get(node.peer.node) is not node:
