Apply a changed limit on heads to open connections

The channel copied the limit for lines and for heads when it accepted the connection. It now reads the limit in force for each line. The other limits of callers' connections are read when they are applied: the new examples, raised and lowered, failed for max_header_bytes only (four of ten).

--- a/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/_channel.py
@@ -241,8 +241,6 @@
     def __init__(self, server: "CallerServer") -> None:
         super().__init__()
         self.server = server
-        self.MAX_LENGTH = server.settings.max_header_bytes
-        self.totalHeadersSize = server.settings.max_header_bytes
         self.idle_since_s = server.now()
         self.head_since_s: float | None = None
         self.discarding_since_s: float | None = None
@@ -253,6 +251,18 @@
         self.progress_s = self.idle_since_s
         self._last_unsent_bytes = 0
 
+    # Both are read for each head, since the limit may change while the
+    # connection is open.
+    @property
+    def MAX_LENGTH(self) -> int:  # noqa: N802
+        """Maximum size of a line of a head, in bytes."""
+        return self.server.settings.max_header_bytes
+
+    @property
+    def totalHeadersSize(self) -> int:  # noqa: N802
+        """Maximum size of a whole head, in bytes."""
+        return self.server.settings.max_header_bytes
+
     def connectionMade(self) -> None:  # noqa: N802
         """Registers the connection with the server."""
         super().connectionMade()
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/caller.feature
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/caller.feature
@@ -48,3 +48,23 @@
     Then a body that is announced as too large gets 413 and reaches no target
     And a body that grows too large gets 413 and its target no last chunk
     And a body of the largest size is answered
+
+  # Guards against limits that an open connection has copied: a proper request
+  # is refused on it, or a request above a lowered limit is taken.
+  Scenario Outline: A changed limit on <field> applies to open connections
+    Given a connection that has had an answer, with <field> of <first>
+    When the limit <field> becomes <second>
+    Then <request> on the open connection is answered with <status>
+
+    Examples:
+      | field            | first | second | request                 | status |
+      | max_header_bytes | 16384 | 65536  | a head of 30000 bytes   | 200    |
+      | max_header_bytes | 16384 | 65536  | a line of 30000 bytes   | 200    |
+      | max_header_bytes | 65536 | 16384  | a head of 30000 bytes   | 400    |
+      | max_header_bytes | 65536 | 16384  | a line of 30000 bytes   | 400    |
+      | max_body_bytes   | 1000  | 100000 | a body of 30000 bytes   | 200    |
+      | max_body_bytes   | 99999 | 1000   | a body of 30000 bytes   | 413    |
+      | idle_timeout_s   | 0.4   | 60     | a request after a pause | 200    |
+      | head_timeout_s   | 0.4   | 60     | a head with a pause     | 200    |
+      | idle_timeout_s   | 60    | 0.4    | a request after a pause | 0      |
+      | head_timeout_s   | 60    | 0.4    | a head with a pause     | 400    |
--- a/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/caller_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/transport/caller/tests/steps/caller_steps.py
@@ -1,9 +1,11 @@
+import contextlib
 import json
 import socket
 import threading
 import time
 
-from behave import then
+import msgspec
+from behave import given, then, when
 
 from egretrock_node.tests.path_world import (
     GET,
@@ -345,3 +347,57 @@
     head = POST + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
     status, _, _ = node.caller(head + b"a" * MAX_BODY_BYTES).read_answer()
     assert status == 200
+
+
+CHANGED_LIMIT_PAUSE_S = 0.8
+
+
+def parse_limit(text):
+    return float(text) if "." in text else int(text)
+
+
+@given("a connection that has had an answer, with {field} of {value}")
+def step_open_connection(context, field, value):
+    node, target = start_harness(context, **{field: parse_limit(value)})
+    target.script = [OK, OK]
+    context.caller = node.caller(GET + b"\r\n")
+    assert context.caller.read_answer()[0] == 200
+
+
+@when("the limit {field} becomes {value}")
+def step_change_limit(context, field, value):
+    server = context.harness.server
+    server.settings = msgspec.structs.replace(
+        server.settings, **{field: parse_limit(value)}
+    )
+
+
+def status_of_rest(caller):
+    """Returns the status of the answer, 0 if the connection was closed."""
+    answer = caller.read_rest()
+    return int(answer.split()[1]) if answer else 0
+
+
+@then("{request} on the open connection is answered with {status:d}")
+def step_changed_limit(context, request, status):
+    caller = context.caller
+    if request == "a head of 30000 bytes":
+        pieces = [GET + (b"X-A: " + b"a" * 1000 + b"\r\n") * 30 + b"\r\n"]
+    elif request == "a line of 30000 bytes":
+        pieces = [GET + b"X-A: " + b"a" * 30_000 + b"\r\n\r\n"]
+    elif request == "a body of 30000 bytes":
+        pieces = [POST + b"Content-Length: 30000\r\n\r\n" + b"a" * 30_000]
+    elif request == "a head with a pause":
+        pieces = [GET, b"\r\n"]
+    else:
+        assert request == "a request after a pause", request
+        pieces = [b"", GET + b"\r\n"]
+    caller.send(pieces[0])
+    if len(pieces) == 2:
+        time.sleep(CHANGED_LIMIT_PAUSE_S)
+        with contextlib.suppress(ConnectionError):
+            caller.send(pieces[1])
+    if status == 200:
+        assert caller.read_answer()[0] == status
+    else:
+        assert status_of_rest(caller) == status
