Return to the defaults when published limits are withdrawn

A gateway kept the limits on heads, bodies and times of callers, and the limit on idle connections to targets, of the last configuration that had some, where PublishedState says that None stands for the defaults. It only wrote the copies when a limit was published. The new scenario failed before.

--- a/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/_gateway.py
@@ -54,7 +54,7 @@
 from egretrock_node.gateway._clock import FINE_TICK_PERIOD_S, GatewayTicker
 from egretrock_node.gateway._idempotency import DisabledIdempotency
 from egretrock_node.gateway._pages import PageServer
-from egretrock_node.gateway._ports import Platform
+from egretrock_node.gateway._ports import CallerLimits, Platform
 from egretrock_node.gateway._prober import LoadProber
 from egretrock_node.gateway._publication import ConfigView
 from egretrock_node.gateway._reads import DirectoryReadClient
@@ -324,7 +324,7 @@
             self.pipeline,
             self.clock,
             counters,
-            CallerServerSettings(max_connections=settings.max_connections),
+            self._caller_settings(None),
             self.pipeline.answer_budget,
         )
 
@@ -483,15 +483,7 @@
         }
         self.bounds.retain(listed, now_s)
         self.evidence.retain(listed, now_s)
-        limits = published.limits
-        if limits is not None:
-            self.callers.settings = replace(
-                self.callers.settings,
-                max_header_bytes=limits.max_header_bytes,
-                max_body_bytes=limits.max_body_bytes,
-                head_timeout_s=limits.head_s,
-                idle_timeout_s=limits.idle_s,
-            )
+        self.callers.settings = self._caller_settings(published.limits)
         _log.info(
             "configuration in force",
             extra={
@@ -505,6 +497,26 @@
             },
         )
 
+    def _caller_settings(
+        self, limits: CallerLimits | None
+    ) -> CallerServerSettings:
+        """Returns the settings of callers' connections for published limits.
+
+        Limits that are withdrawn give way to the defaults.
+        """
+        defaults = CallerServerSettings(
+            max_connections=self.settings.max_connections
+        )
+        if limits is None:
+            return defaults
+        return replace(
+            defaults,
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            head_timeout_s=limits.head_s,
+            idle_timeout_s=limits.idle_s,
+        )
+
     def _queue_limit_of(self, service: ServiceId) -> int:
         del service
         return _MAX_QUEUED_PER_SERVICE
@@ -657,14 +669,14 @@
         """Applies the node's share of the connections that targets accept."""
         del now_s
         max_connections = self.publication.min_max_connections
-        if max_connections is None:
-            return
-        share = idle_connection_share(
-            max_connections, self.membership.serving_count()
-        )
         most = TargetPoolSettings().max_idle_per_target
+        if max_connections is not None:
+            share = idle_connection_share(
+                max_connections, self.membership.serving_count()
+            )
+            most = min(most, share)
         self.pool.settings = replace(
-            self.pool.settings, max_idle_per_target=min(most, share)
+            self.pool.settings, max_idle_per_target=most
         )
 
     def _flush_counters(self, now_s: float) -> None:
--- a/packages/egretrock-node/src/egretrock_node/gateway/tests/steps/isolation_steps.py
+++ b/packages/egretrock-node/src/egretrock_node/gateway/tests/steps/isolation_steps.py
@@ -8,7 +8,13 @@
 
 from egretrock.coordination.base import Outbound, Peer
 from egretrock.coordination.gossip import GOSSIP_MESSAGES, Ack
-from egretrock_node.gateway import Gateway, GatewaySettings
+from egretrock.state.config import PublishedConfig, Service
+from egretrock_node.gateway import (
+    CallerLimits,
+    Gateway,
+    GatewaySettings,
+    PublishedState,
+)
 from egretrock_node.gateway._prober import LoadProber
 from egretrock_node.gateway._publication import ConfigView
 from egretrock_node.lifecycle import MessageRouter
@@ -22,8 +28,7 @@
     raise RuntimeError("odd")
 
 
-@given('a gateway whose part "{part}" raises')
-def step_gateway(context, part):
+def make_gateway(context):
     platform = Mock(
         target_protocol=TargetProtocol(), caller_protocol=CallerProtocol()
     )
@@ -38,7 +43,8 @@
         seeds=(),
     )
     context.now_s = 0.0
-    gateway = context.gateway = Gateway(
+    context.platform = platform
+    context.gateway = Gateway(
         Clock(),
         settings,
         platform,
@@ -47,6 +53,12 @@
         lambda: context.now_s,
         Mock(),
     )
+    return context.gateway
+
+
+@given('a gateway whose part "{part}" raises')
+def step_gateway(context, part):
+    gateway = make_gateway(context)
     gateway._accept = Mock()
     for name in ("draining", "callers"):
         setattr(gateway, name, Mock())
@@ -147,3 +159,39 @@
 @then("the configuration is in force")
 def step_in_force(context):
     assert context.view.config() is context.published.config
+
+
+@given("a gateway with published limits")
+def step_limited_gateway(context):
+    gateway = make_gateway(context)
+    gateway._accept = Mock()
+    context.defaults = gateway.callers.settings, gateway.pool.settings
+    context.limits = CallerLimits(2000, 3000, 4.0, 5.0)
+    publish(context, context.limits, 1)
+
+
+def publish(context, limits, max_connections):
+    gateway = context.gateway
+    service = Service("plain", {}, max_connections=max_connections)
+    config = PublishedConfig({}, {}, {}, {"one": service}, {}, {})
+    context.platform.decode_entries.return_value = PublishedState(
+        config, "r1", limits
+    )
+    gateway.directory.generation += 1
+    gateway._refresh(0.0)
+    gateway._limit_idle_connections(0.0)
+
+
+@when("a configuration without limits is published")
+def step_withdraw(context):
+    callers, pool = context.gateway.callers, context.gateway.pool
+    assert callers.settings.max_header_bytes == 2000
+    assert callers.settings.idle_timeout_s == 5.0
+    assert pool.settings.max_idle_per_target == 1
+    publish(context, None, None)
+
+
+@then("the limits are those of a gateway without published limits")
+def step_defaults(context):
+    gateway = context.gateway
+    assert (gateway.callers.settings, gateway.pool.settings) == context.defaults
