Apply a changed warm-up to targets that are warming up

A target of the daemon that was warming up kept the length of the warm-up that was published when it started: with a shorter one it stayed limited, with a longer one it got more than the profile allows. The three new examples failed before.

--- a/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_home.py
@@ -247,8 +247,7 @@
             record.profile = self._profile
             eligible = usable_target(config, self.service, target) is not None
             if eligible and not record.eligible:
-                ramp_s = max(RETURN_RAMP_S, self._profile.warmup.duration_s)
-                record.restart_ramp(now_s, ramp_s)
+                record.restart_ramp(now_s, RETURN_RAMP_S)
             record.eligible = eligible
 
     def apply_vm_list(self, vms: VmList, now_s: float) -> None:
--- a/packages/egretrock-core/src/egretrock/coordination/targets/_record.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/_record.py
@@ -89,7 +89,7 @@
             maxlen=8
         )
         self._ramp_start_s = now_s
-        self._ramp_s = profile.warmup.duration_s
+        self._least_ramp_s = 0.0
         self._successes = 0
         self._suspected_s = -math.inf
         self._limit = float(self.ceiling)
@@ -104,6 +104,11 @@
         self._load_report_until_s = -math.inf
         self._uptime_s = 0.0
 
+    @property
+    def _ramp_s(self) -> float:
+        """Length of the ramp by the profile in force, in seconds."""
+        return max(self._least_ramp_s, self.profile.warmup.duration_s)
+
     @property
     def initial_limit(self) -> int:
         """Limit right after the start of an instance."""
@@ -167,12 +172,17 @@
         self.trust = Trust.WARM
         self._ramp_start_s = now_s - self._ramp_s
 
-    def restart_ramp(self, now_s: float, ramp_s: float) -> None:
-        """Restarts the ramp, such as when a data centre returns to service."""
+    def restart_ramp(self, now_s: float, least_s: float) -> None:
+        """Restarts the ramp, such as when a data centre returns to service.
+
+        Args:
+            now_s: Time.
+            least_s: Seconds that the ramp takes at least.
+        """
         if self.trust in (Trust.WARM, Trust.COLD):
             self.trust = Trust.COLD
             self._ramp_start_s = now_s
-            self._ramp_s = ramp_s
+            self._least_ramp_s = least_s
             self._successes = 0
 
     def suspect(self, now_s: float) -> None:
@@ -342,7 +352,7 @@
     def _become_cold(self, now_s: float) -> None:
         self.trust = Trust.COLD
         self._ramp_start_s = now_s
-        self._ramp_s = self.profile.warmup.duration_s
+        self._least_ramp_s = 0.0
         self._successes = 0
         self._uptime_s = 0.0
         self._limit = float(self.ceiling)
--- a/packages/egretrock-core/src/egretrock/coordination/targets/tests/steps/targets_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/tests/steps/targets_steps.py
@@ -7,6 +7,9 @@
 from hypothesis import strategies as st
 
 from egretrock.coordination.targets import Health, TargetCondition
+from egretrock.coordination.targets._record import TargetRecord
+from egretrock.state.config import Profile, Target, WarmupProfile
+from egretrock.state.ids import DataCentreId
 from egretrock_standins.virtual import Faults, TargetSimulation
 
 PROFILE = {
@@ -555,3 +558,33 @@
             assert counted >= len(target.attempts), (
                 f"{name} has {len(target.attempts)} requests, {counted} counted"
             )
+
+
+def warming_profile(duration_s):
+    return Profile(
+        warmup=WarmupProfile(initial_concurrency=1, duration_s=duration_s)
+    )
+
+
+@given(
+    "a target with {slots:d} slots that started {age_s:d} seconds ago, with a"
+    " warm-up of {duration_s:d} seconds"
+)
+def step_warming_target(context, slots, age_s, duration_s):
+    context.now_s = 100.0
+    published = Target("10.0.0.1:80", DataCentreId("a"), slots)
+    context.record = TargetRecord(
+        published, warming_profile(duration_s), context.now_s - age_s
+    )
+    for _ in range(slots):
+        context.record._record_success(context.now_s - age_s, context.now_s - 3)
+
+
+@when("the warm-up becomes {duration_s:d} seconds")
+def step_change_warmup(context, duration_s):
+    context.record.profile = warming_profile(duration_s)
+
+
+@then("its limit is {limit:d}")
+def step_warming_limit(context, limit):
+    assert context.record.limit(context.now_s) == limit
--- a/packages/egretrock-core/src/egretrock/coordination/targets/tests/targets.feature
+++ b/packages/egretrock-core/src/egretrock/coordination/targets/tests/targets.feature
@@ -102,3 +102,15 @@
     Given 6 nodes, 4 targets and half of all messages repeated and delayed
     Then the home counts every request in flight
     And after the faults every permit is returned
+
+  # Guards against a warm-up whose length a target has copied at its start.
+  Scenario Outline: A changed warm-up applies to a target that is warming up
+    Given a target with 8 slots that started 4 seconds ago, with a warm-up of <first> seconds
+    When the warm-up becomes <second> seconds
+    Then its limit is <limit>
+
+    Examples:
+      | first | second | limit |
+      | 4     | 8      | 4     |
+      | 8     | 4      | 8     |
+      | 80    | 8      | 4     |
