--- a/packages/egretrock-core/src/egretrock/coordination/base/_delays.py
+++ b/packages/egretrock-core/src/egretrock/coordination/base/_delays.py
@@ -1,6 +1,7 @@
 """Upper bounds on how long messages were under way."""
 
 import collections
+import math
 from typing import Annotated
 
 import msgspec
@@ -55,8 +56,9 @@
     The same holds in the other direction, where the clocks count with the
     opposite sign. So the difference of one message, plus the least one that
     the sender has seen of messages in the other direction, is its delay plus
-    the least delay of those. It is never below the delay of the message,
-    wherever that waited: in a queue, on a link or in a busy or frozen process.
+    the least delay of those. But for the drift of the clocks within a minute,
+    it is never below the delay of the message, wherever that waited: in a
+    queue, on a link or in a busy or frozen process.
 
     Args:
         own: This process.
@@ -75,13 +77,14 @@
             receiver: The node.
             made_s: Time of this node's clock.
         """
-        made_ms = round(made_s * 1000)
+        # Both are rounded so that the bound does not fall below the delay.
+        made_ms = math.floor(made_s * 1000)
         clock = self._clocks.get(receiver)
         if clock is None:
             return ClockStamp(made_ms)
         least_s = min(clock.least_s, clock.previous_least_s)
         return ClockStamp(
-            made_ms, round(least_s * 1000), _mark(clock.incarnation)
+            made_ms, math.ceil(least_s * 1000), _mark(clock.incarnation)
         )
 
     def receive(
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_edits.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_edits.py
@@ -3,6 +3,7 @@
 Values are mostly documents of which a change touches a few fields. They are
 compared in chunks that end where a field or an object of JSON ends. Other
 values may have long chunks, of which equal ones are found all the same.
+The work is linear in the size of both values.
 """
 
 import re
@@ -10,7 +11,8 @@
 
 import msgspec
 
-_CHUNK = re.compile(rb"[^,}]*[,}]|[^,}]+")
+#: At least 16 bytes, so that no value has very many chunks.
+_CHUNK = re.compile(rb"[\s\S]{16}[^,}]*[,}]?|[\s\S]+")
 
 
 class Edit(msgspec.Struct, frozen=True, array_like=True):
@@ -35,8 +37,8 @@
     """Returns the edits that lead from an earlier value to a value.
 
     Example:
-        >>> find_edits(b"[1,2]", b"[1,4]")
-        [Edit(start=0, length=3, added=b'4]')]
+        >>> find_edits(b"[1, 2, 3, 4, 5, 6, 7]", b"[1, 2, 3, 4, 5, 6, 8]")
+        [Edit(start=0, length=18, added=b' 8]')]
     """
     earlier_chunks = _CHUNK.findall(earlier)
     starts: list[int] = []
