Join the modules of the directory that belong together

What changes are and how they are shortened is one module now, messages and their reassembly another, and the choice of readers stands with their trees. No logic changed.

--- a/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/__init__.py
@@ -3,14 +3,12 @@
 Entries are opaque here: a key, a value and the revision of its last change.
 """
 
+from egretrock.coordination.directory._changes import Change, Difference, Edit
 from egretrock.coordination.directory._directory import Directory
-from egretrock.coordination.directory._edits import Edit
 from egretrock.coordination.directory._messages import (
     DIRECTORY_MESSAGES,
     MAX_AGE_S,
     NO_POSITION,
-    Change,
-    Difference,
     Position,
     Update,
     UpdateRequest,
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_directory.py
@@ -16,9 +16,10 @@
     UnpackError,
     ignore_message,
 )
-from egretrock.coordination.directory._assembly import Assembly
-from egretrock.coordination.directory._differences import (
+from egretrock.coordination.directory._changes import (
     BaseMissingError,
+    Change,
+    Difference,
     Entry,
     resolve,
     shorten,
@@ -27,16 +28,14 @@
 from egretrock.coordination.directory._messages import (
     MAX_AGE_S,
     NO_POSITION,
-    Change,
-    Difference,
+    Assembly,
     Position,
     Update,
     UpdateRequest,
     pack,
     unpack,
 )
-from egretrock.coordination.directory._readers import choose_readers
-from egretrock.coordination.directory._relay import Relay
+from egretrock.coordination.directory._relay import Relay, choose_readers
 from egretrock.coordination.directory._settings import (
     DirectorySettings,
     FirstRead,
--- a/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/_messages.py
@@ -1,4 +1,4 @@
-"""Messages that distribute the directory, and their packing."""
+"""Messages that distribute the directory, their packing and reassembly."""
 
 import math
 from collections.abc import Iterator, Sequence
@@ -6,8 +6,18 @@
 
 import msgspec
 
-from egretrock.coordination.base import Message, pack_value, unpack_value
-from egretrock.coordination.directory._edits import Edit
+from egretrock.coordination.base import (
+    Counters,
+    Message,
+    Peer,
+    pack_value,
+    unpack_value,
+)
+from egretrock.coordination.directory._changes import (
+    MAX_UNPACKED_BYTES,
+    Change,
+    Difference,
+)
 from egretrock.state.ids import NodeId, Revision
 
 
@@ -30,36 +40,6 @@
 NO_POSITION = Position(0, Revision(0))
 
 
-class Change(msgspec.Struct, frozen=True, array_like=True, tag=0):
-    """One written or removed entry.
-
-    Attributes:
-        key: Key of the entry.
-        revision: Revision of the change.
-        value: Value, or None if the entry was removed.
-    """
-
-    key: str
-    revision: Revision
-    value: bytes | None
-
-
-class Difference(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """One written entry, as the difference to its previous value.
-
-    Attributes:
-        key: Key of the entry.
-        revision: Revision of the change.
-        base_revision: Revision of the previous value.
-        edits: What leads from the previous value to the new one.
-    """
-
-    key: str
-    revision: Revision
-    base_revision: Revision
-    edits: tuple[Edit, ...]
-
-
 #: Greatest age that updates tell; stands for any greater and unknown ones.
 MAX_AGE_S = 3600.0
 
@@ -121,9 +101,11 @@
 #: Packed bytes of one fragment. They are sent as base64, which adds a third,
 #: and a datagram holds 1,400 bytes with its envelope.
 FRAGMENT_BYTES = 850
-#: Largest size of the unpacked changes of a message; a directory of 300
-#: targets and 400 routes takes about 200 KB.
-MAX_UNPACKED_BYTES = 16_000_000
+#: Maximum number of incomplete messages over all senders; one more drops all
+#: that were kept.
+_MAX_PARTIAL_MESSAGES = 32
+#: Seconds after the first fragment at which an incomplete message is dropped.
+_PARTIAL_TIMEOUT_S = 1.0
 
 
 def pack(changes: Sequence[Change | Difference]) -> list[bytes]:
@@ -155,3 +137,63 @@
 def _split(packed: bytes) -> Iterator[bytes]:
     for start in range(0, len(packed), FRAGMENT_BYTES):
         yield packed[start : start + FRAGMENT_BYTES]
+
+
+class _PartialMessage(msgspec.Struct):
+    fragment_count: int
+    fragments: dict[int, bytes]
+    started_s: float
+    is_snapshot: bool
+
+
+class Assembly:
+    """Keeps the fragments of each message until all have arrived.
+
+    Args:
+        counters: Metrics.
+    """
+
+    def __init__(self, counters: Counters) -> None:
+        self._counters = counters
+        self._incomplete: dict[tuple[NodeId, int], _PartialMessage] = {}
+
+    def add(
+        self, sender: Peer, body: Update, now_s: float
+    ) -> list[bytes] | None:
+        """Returns all fragments of a message if this is the last, or None."""
+        if not 0 <= body.fragment_index < body.fragment_count:
+            self._counters.increment("directory.bad_news")
+            return None
+        if body.fragment_count == 1:
+            return [body.data]
+        key = (body.origin or sender.node, body.number)
+        partial = self._incomplete.get(key)
+        if partial is None:
+            if len(self._incomplete) >= _MAX_PARTIAL_MESSAGES:
+                self._counters.increment("directory.partial_dropped")
+                self._incomplete.clear()
+            partial = self._incomplete[key] = _PartialMessage(
+                body.fragment_count, {}, now_s, body.is_snapshot
+            )
+        if body.fragment_count != partial.fragment_count:
+            self._counters.increment("directory.bad_news")
+            return None
+        partial.fragments[body.fragment_index] = body.data
+        if len(partial.fragments) < body.fragment_count:
+            return None
+        del self._incomplete[key]
+        return [
+            partial.fragments[fragment_index]
+            for fragment_index in range(body.fragment_count)
+        ]
+
+    def is_snapshot_arriving(self) -> bool:
+        """Returns whether fragments of a snapshot have arrived, not all."""
+        return any(p.is_snapshot for p in self._incomplete.values())
+
+    def expire(self, now_s: float) -> None:
+        """Drops incomplete messages after the timeout and counts them."""
+        for key, partial in list(self._incomplete.items()):
+            if now_s - partial.started_s > _PARTIAL_TIMEOUT_S:
+                del self._incomplete[key]
+                self._counters.increment("directory.partial_expired")
--- a/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/differences_steps.py
+++ b/packages/egretrock-core/src/egretrock/coordination/directory/tests/steps/differences_steps.py
@@ -14,7 +14,7 @@
     Update,
     UpdateRequest,
 )
-from egretrock.coordination.directory._edits import (
+from egretrock.coordination.directory._changes import (
     EditError,
     apply_edits,
     find_edits,
@@ -35,7 +35,7 @@
         "prefix": f"/{rng.getrandbits(32):08x}/",
         "kind": "safe",
         "service": "one",
-        "timeout-s": 1.5,
+        "timeout_ms": 1500,
         "priority": 2,
         "public": False,
     }
@@ -53,7 +53,7 @@
 
 
 def write_document(context):
-    document = {"routes": context.routes, "api-keys": context.keys}
+    document = {"routes": context.routes, "keys": context.keys}
     context.document = json.dumps(document).encode()
     context.fleet.store.put(KEY, context.document)
 
