--- a/review/lib3/standin.py
+++ b/review/lib3/standin.py
@@ -297,6 +297,7 @@
         self._free = asyncio.Semaphore(self.slots)
         self.waiting = 0
         self.is_alive = False
+        self.crashed_s = None
 
     def entry(self):
         self.sequence += 1
@@ -326,6 +327,7 @@
     def crash(self):
         """Ends the process; its entry stays in the store for some seconds."""
         self.is_alive = False
+        self.crashed_s = self.record.now_s()
         self.record.write("instance_crashed", instance=self.name)
         self.stop()
 
