--- a/review/lib3/standin.py
+++ b/review/lib3/standin.py
@@ -774,12 +774,17 @@
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def limited():
+        task = asyncio.current_task()
+        # The processes that were started end with the script.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, task.cancel
+        )
         async with asyncio.timeout(115):
             return await main(is_troubled, folder)
 
     try:
         is_broken = asyncio.run(limited())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError, KeyboardInterrupt) as error:
         # An error of the script itself says nothing about the rule.
         print(f"the case could not run: {error!r}")
         sys.exit(2)
